Add the command-line tool, the glossary and the settings reference

Cause: operators need commands with exit statuses that scripts can use.

Change: tanagertrack with job, ticket, target and status commands on TCLAP; each says whether a failed request ran. job submit derives the idempotency key from the file, so that a resubmission is the same job. docs/settings.md is made from the table that checks settings, and a test compares both.

Result: test_cli passes; the commands were not yet run against an entry.

--- /dev/null
+++ b/src/cli/api_client.cpp
@@ -0,0 +1,210 @@
+#include "cli/api_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace tanagertrack::cli
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::uint64_t max_answer_bytes = 64ULL * 1024 * 1024;
+constexpr std::size_t piece_bytes = 64 * 1024;
+
+/// A connection on which each operation ends at the timeout. Beast applies
+/// its timeouts to asynchronous operations only, so each one is started
+/// asynchronously and run to its end here.
+class connection
+{
+public:
+    explicit connection(const api_settings& settings)
+        : settings_(settings), stream_(context_)
+    {
+    }
+
+    beast::error_code connect()
+    {
+        const asio::ip::tcp::endpoint peer(
+            asio::ip::make_address(settings_.address.address),
+            settings_.address.port);
+        return run([&](auto handler) { stream_.async_connect(peer, handler); });
+    }
+
+    template<typename Body>
+    beast::error_code write(http::request<Body>& message)
+    {
+        http::request_serializer<Body> serializer(message);
+        beast::error_code ec;
+        // Piece by piece, so that the timeout is one without progress.
+        do
+        {
+            ec = run([&](auto handler)
+                     { http::async_write_some(stream_, serializer, handler); });
+        } while (!ec && !serializer.is_done());
+        return ec;
+    }
+
+    template<typename Parser>
+    beast::error_code read_header(Parser& parser)
+    {
+        return run(
+            [&](auto handler)
+            { http::async_read_header(stream_, buf_, parser, handler); });
+    }
+
+    template<typename Parser>
+    beast::error_code read_some(Parser& parser)
+    {
+        return run([&](auto handler)
+                   { http::async_read_some(stream_, buf_, parser, handler); });
+    }
+
+private:
+    /// Starts one operation with the timeout and waits for its end.
+    template<typename Operation>
+    beast::error_code run(Operation start)
+    {
+        beast::error_code result;
+        stream_.expires_after(settings_.timeout);
+        start([&result](beast::error_code ec, auto&&...) { result = ec; });
+        context_.restart();
+        context_.run();
+        return result;
+    }
+
+    const api_settings& settings_;
+    asio::io_context context_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buf_;
+};
+
+template<typename Body>
+void set_fields(http::request<Body>& message, const api_request& request,
+                const api_settings& settings)
+{
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.keep_alive(false);
+    message.set(http::field::host, to_string(settings.address));
+    message.set(http::field::user_agent, "tanagertrack");
+    if (!settings.key.empty())
+        message.set(http::field::authorization, "Bearer " + settings.key);
+    if (!request.content_type.empty())
+        message.set(http::field::content_type, request.content_type);
+    if (!request.idempotency_key.empty())
+        message.set("Idempotency-Key", request.idempotency_key);
+}
+
+beast::error_code write_request(connection& out, const api_request& request,
+                                const api_settings& settings)
+{
+    if (request.body_file.empty())
+    {
+        http::request<http::string_body> message;
+        message.body() = request.body;
+        set_fields(message, request, settings);
+        message.prepare_payload();
+        return out.write(message);
+    }
+
+    http::request<http::file_body> message;
+    beast::error_code ec;
+    message.body().open(request.body_file.c_str(), beast::file_mode::scan, ec);
+    if (ec)
+        return ec;
+    set_fields(message, request, settings);
+    message.prepare_payload();
+    return out.write(message);
+}
+
+api_answer failed(beast::error_code ec, bool sent)
+{
+    api_answer answer;
+    answer.error = ec.message();
+    answer.sent = sent;
+    return answer;
+}
+
+/// Reads the body in pieces; successful answers go to `out`, others are
+/// collected.
+beast::error_code read_body(connection& in,
+                            http::response_parser<http::buffer_body>& parser,
+                            const api_client::sink& out, api_answer& answer)
+{
+    std::array<char, piece_bytes> piece;
+    while (!parser.is_done())
+    {
+        auto& body = parser.get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        auto ec = in.read_some(parser);
+        if (ec == http::error::need_buffer)
+            ec = {};
+        if (ec)
+            return ec;
+
+        const std::string_view text(piece.data(), piece.size() - body.size);
+        if (answer.status >= 300)
+            answer.body += text;
+        else if (!text.empty() && !out(text))
+            return {};
+    }
+    return {};
+}
+
+} // namespace
+
+api_client::api_client(api_settings settings) : settings_(std::move(settings))
+{
+}
+
+api_answer api_client::call(const api_request& request) const
+{
+    std::string body;
+    auto answer = stream(request,
+                         [&body](std::string_view piece)
+                         {
+                             body += piece;
+                             return body.size() <= max_answer_bytes;
+                         });
+    if (answer.body.empty())
+        answer.body = std::move(body);
+    return answer;
+}
+
+api_answer api_client::stream(const api_request& request, const sink& out) const
+{
+    connection peer(settings_);
+    if (const auto ec = peer.connect())
+        return failed(ec, false);
+
+    // An entry may answer, for example with 413, and close before it has read
+    // the whole body; the answer is read even when writing failed.
+    const auto write_error = write_request(peer, request, settings_);
+
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    if (const auto ec = peer.read_header(parser))
+        return failed(write_error ? write_error : ec, true);
+
+    api_answer answer;
+    answer.status = parser.get().result_int();
+    answer.sent = true;
+    if (const auto ec = read_body(peer, parser, out, answer))
+        return failed(ec, true);
+    return answer;
+}
+
+} // namespace tanagertrack::cli
--- a/test/config/test_settings.cpp
+++ b/test/config/test_settings.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <fstream>
+#include <sstream>
+
 using namespace tanagertrack::config;
 
 namespace
@@ -80,4 +83,16 @@
     BOOST_TEST(!read("").empty());
 }
 
+// Guards against a reference page that differs from the table.
+BOOST_AUTO_TEST_CASE(reference_page_is_current)
+{
+    settings target;
+    std::ifstream file(TANAGERTRACK_SOURCE_DIR "/docs/settings.md");
+    std::ostringstream page;
+    page << file.rdbuf();
+    const auto table = make_setting_table(target).reference();
+    BOOST_TEST(page.str().find(table) != std::string::npos,
+               "run scripts/update-settings-page.sh");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
