--- a/src/transport/message_stream.hpp
+++ b/src/transport/message_stream.hpp
@@ -32,6 +32,8 @@
 
     /// The stream ended; called once, and no hook after it. No error after
     /// both sides finished; `cancelled` after a reset by the peer;
+    /// `shutting_down` when the peer did not take the stream (it never saw
+    /// its messages); `protocol_error` after a message over the limit;
     /// `connection_lost` when the connection ended first.
     std::function<void(std::error_code)> on_closed;
 };
@@ -64,7 +66,8 @@
     /// Serializes and queues one message, as `send`.
     bool send(const google::protobuf::MessageLite& message);
 
-    /// Number of bytes queued and not yet written to the socket.
+    /// Number of bytes queued and not yet handed to the connection, which
+    /// collects at most 128 KiB for one write.
     virtual std::size_t queued_bytes() const = 0;
 
     /// Stops and restarts the delivery of messages; while stopped, the
--- a/src/transport/server.hpp
+++ b/src/transport/server.hpp
@@ -44,6 +44,10 @@
     /// Streams that are open.
     std::size_t open_streams() const;
 
+    /// Connections that are open. After `stop_accepting` a connection closes
+    /// when its last stream has ended and its answers were written.
+    std::size_t open_connections() const;
+
 private:
     class impl;
     std::shared_ptr<impl> impl_;
