Add the HTTP/1.1 server with its limits

Callers' and operators' listeners and the agent's admin listener need the same server: bodies and answers that are streamed with backpressure, and limits for every way in which a caller can be slow or wrong.

A connection is one coroutine that serves its requests one after the other; an exchange passes calls from any thread to it. While an answer is prepared the connection is read in the background, so that a caller that leaves is noticed. A caller that closes only its sending side counts as gone: the two can't be told apart without writing.

The body limit is counted here and not by Beast's parser, because it is known only after the header. Each write has its own deadline, so a slow caller that still reads is kept.

--- /dev/null
+++ b/src/http/http_exchange.cpp
@@ -0,0 +1,168 @@
+#include "http/http_exchange.hpp"
+
+#include "http/http_session.hpp"
+#include "http/request_state.hpp"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <utility>
+
+namespace tanagertrack::http
+{
+
+namespace
+{
+
+using step_kind = answer_step::kind;
+
+/// Collects the pieces of a body.
+struct body_reader
+    : boost::intrusive_ref_counter<body_reader, boost::thread_safe_counter>
+{
+    http_exchange_ptr exchange;
+    std::function<void(std::error_code, std::string)> handler;
+    std::string body;
+
+    void read_on()
+    {
+        boost::intrusive_ptr<body_reader> self(this);
+        exchange->read_body(
+            [self](std::error_code ec, std::string chunk, bool end)
+            { self->take(ec, std::move(chunk), end); });
+    }
+
+    void take(std::error_code ec, std::string chunk, bool end)
+    {
+        if (body.empty())
+            body = std::move(chunk);
+        else
+            body += chunk;
+        if (!ec && !end)
+            return read_on();
+        std::exchange(handler, nullptr)(ec, std::move(body));
+    }
+};
+
+} // namespace
+
+http_exchange::http_exchange(std::shared_ptr<http_session> session,
+                             std::shared_ptr<request_state> state)
+    : session_(std::move(session)), state_(std::move(state))
+{
+}
+
+http_exchange::~http_exchange()
+{
+    on_session(
+        [](http_session& session, request_state& state)
+        {
+            if (!state.answered)
+                session.release_unanswered(state);
+        });
+}
+
+const request_head& http_exchange::head() const
+{
+    return state_->head;
+}
+
+template<typename Function>
+void http_exchange::on_session(Function function)
+{
+    boost::asio::dispatch(session_->executor(),
+                          [session = session_, state = state_,
+                           function = std::move(function)]() mutable
+                          { function(*session, *state); });
+}
+
+void http_exchange::run_handlers_with(handler_runner runner)
+{
+    on_session([runner = std::move(runner)](http_session&,
+                                            request_state& state) mutable
+               { state.runner = std::move(runner); });
+}
+
+void http_exchange::limit_body(std::uint64_t max_bytes)
+{
+    on_session([max_bytes](http_session&, request_state& state)
+               { state.max_body_bytes = max_bytes; });
+}
+
+void http_exchange::read_body(body_handler handler)
+{
+    on_session([handler = std::move(handler)](http_session& session,
+                                              request_state& state) mutable
+               { session.read_body(state, std::move(handler)); });
+}
+
+void http_exchange::respond(answer_head head, std::string body)
+{
+    answer_step step{step_kind::whole, std::move(head), std::move(body), {}};
+    on_session([step = std::move(step)](http_session& session,
+                                        request_state& state) mutable
+               { session.add_step(state, std::move(step)); });
+}
+
+void http_exchange::refuse(const rejection& why)
+{
+    auto answer = error_answer(why, head().request_id);
+    respond(std::move(answer.head), std::move(answer.body));
+}
+
+void http_exchange::start_answer(answer_head head)
+{
+    answer_step step{step_kind::start, std::move(head), {}, {}};
+    on_session([step = std::move(step)](http_session& session,
+                                        request_state& state) mutable
+               { session.add_step(state, std::move(step)); });
+}
+
+void http_exchange::write(std::string chunk, written_handler handler)
+{
+    answer_step step{
+        step_kind::piece, {}, std::move(chunk), std::move(handler)};
+    on_session([step = std::move(step)](http_session& session,
+                                        request_state& state) mutable
+               { session.add_step(state, std::move(step)); });
+}
+
+void http_exchange::finish()
+{
+    on_session(
+        [](http_session& session, request_state& state) {
+            session.add_step(state, {step_kind::finish, {}, {}, {}});
+        });
+}
+
+void http_exchange::abort()
+{
+    on_session(
+        [](http_session& session, request_state& state) {
+            session.add_step(state, {step_kind::abort, {}, {}, {}});
+        });
+}
+
+void http_exchange::on_abandoned(std::function<void()> hook)
+{
+    on_session(
+        [hook = std::move(hook)](http_session&, request_state& state) mutable
+        {
+            if (state.closed && !state.answered)
+                state.run(std::move(hook));
+            else
+                state.abandoned = std::move(hook);
+        });
+}
+
+void read_whole_body(
+    const http_exchange_ptr& exchange, std::uint64_t max_bytes,
+    std::function<void(std::error_code ec, std::string body)> handler)
+{
+    exchange->limit_body(max_bytes);
+    boost::intrusive_ptr<body_reader> reader(new body_reader);
+    reader->exchange = exchange;
+    reader->handler = std::move(handler);
+    reader->read_on();
+}
+
+} // namespace tanagertrack::http
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,174 @@
+#include "http/http_server.hpp"
+
+#include "common/logging.hpp"
+#include "http/http_session.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <atomic>
+#include <unordered_set>
+
+namespace tanagertrack::http
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Pause after a failed accept, as when the process is out of descriptors.
+constexpr auto accept_pause = std::chrono::milliseconds(50);
+
+} // namespace
+
+class http_server::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context& context, http_settings settings,
+         request_handler handler)
+        : context_(context), settings_(std::move(settings)),
+          handler_(std::move(handler)), acceptor_(context)
+    {
+    }
+
+    std::error_code listen(const common::endpoint& local)
+    {
+        error_code ec;
+        const auto address = asio::ip::make_address(local.address, ec);
+        const tcp::endpoint at(address, local.port);
+        if (!ec)
+            acceptor_.open(at.protocol(), ec);
+        if (!ec)
+            acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+        if (!ec)
+            acceptor_.bind(at, ec);
+        if (!ec)
+            acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+        if (!ec)
+            asio::co_spawn(context_, accept_all(shared_from_this()),
+                           asio::detached);
+        return ec;
+    }
+
+    std::uint16_t port() const
+    {
+        error_code ignored;
+        return acceptor_.local_endpoint(ignored).port();
+    }
+
+    void stop_accepting()
+    {
+        error_code ignored;
+        acceptor_.close(ignored);
+    }
+
+    void close_all()
+    {
+        stop_accepting();
+        for (auto* it : sessions_)
+            it->close();
+    }
+
+    std::size_t connections() const
+    {
+        return count_.load();
+    }
+
+private:
+    /// Holds the object itself: the coroutine can outlive the server.
+    asio::awaitable<void> accept_all(std::shared_ptr<impl> self)
+    {
+        while (self->acceptor_.is_open())
+        {
+            error_code ec;
+            auto socket = co_await self->acceptor_.async_accept(
+                asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec)
+                self->take(std::move(socket));
+            else if (self->acceptor_.is_open())
+                co_await self->pause(ec);
+        }
+    }
+
+    asio::awaitable<void> pause(error_code cause)
+    {
+        common::log_warning("accept_failed", {{"listener", settings_.name},
+                                              {"what", cause.message()}});
+        asio::steady_timer timer(context_, accept_pause);
+        error_code ignored;
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    void take(tcp::socket socket)
+    {
+        if (sessions_.size() >= settings_.max_connections)
+        {
+            common::log_warning("connection_refused",
+                                {{"listener", settings_.name},
+                                 {"connections", sessions_.size()}});
+            return;
+        }
+        // The session keeps this object alive, because it uses the settings.
+        auto session = std::make_shared<http_session>(
+            std::move(socket), settings_, handler_,
+            [self = shared_from_this()](http_session* it) { self->drop(it); });
+        sessions_.insert(session.get());
+        count_.store(sessions_.size());
+        asio::co_spawn(context_, session->run(), asio::detached);
+    }
+
+    void drop(http_session* session)
+    {
+        sessions_.erase(session);
+        count_.store(sessions_.size());
+    }
+
+    asio::io_context& context_;
+    http_settings settings_;
+    request_handler handler_;
+    tcp::acceptor acceptor_;
+    std::unordered_set<http_session*> sessions_;
+    std::atomic<std::size_t> count_{0};
+};
+
+http_server::http_server(asio::io_context& context, http_settings settings,
+                         request_handler handler)
+    : impl_(std::make_shared<impl>(context, std::move(settings),
+                                   std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    impl_->close_all();
+}
+
+std::error_code http_server::listen(const common::endpoint& local)
+{
+    return impl_->listen(local);
+}
+
+std::uint16_t http_server::port() const
+{
+    return impl_->port();
+}
+
+void http_server::stop_accepting()
+{
+    impl_->stop_accepting();
+}
+
+std::size_t http_server::connections() const
+{
+    return impl_->connections();
+}
+
+} // namespace tanagertrack::http
--- /dev/null
+++ b/src/http/http_session.cpp
@@ -0,0 +1,479 @@
+#include "http/http_session.hpp"
+
+#include "common/hash.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace tanagertrack::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using common::result_code;
+using step_kind = answer_step::kind;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Largest piece of a body given to its reader.
+constexpr std::size_t piece_bytes = 64 * 1024;
+
+/// Room for pipelined input while an answer is prepared.
+constexpr std::size_t monitor_bytes = 4096;
+
+/// Kernel buffer for answers; bounds the memory of callers that don't read.
+constexpr int send_buffer_bytes = 128 * 1024;
+
+/// How long, and how much of, an unread body is discarded after an early
+/// answer. Closing at once would reset the connection and could take the
+/// answer from the caller.
+constexpr auto drain_time = std::chrono::seconds(2);
+constexpr std::size_t max_drained_bytes = 64UL * 1024 * 1024;
+
+bool has_no_body(unsigned status)
+{
+    return status == 204 || status == 304 || status < 200;
+}
+
+} // namespace
+
+http_session::http_session(asio::ip::tcp::socket socket,
+                           const http_settings& settings,
+                           request_handler handler,
+                           std::function<void(http_session*)> closed)
+    : stream_(std::move(socket)), settings_(settings),
+      handler_(std::move(handler)), closed_(std::move(closed)),
+      wake_(stream_.get_executor()),
+      buffer_(settings.max_header_bytes + piece_bytes)
+{
+}
+
+asio::any_io_executor http_session::executor()
+{
+    return stream_.get_executor();
+}
+
+void http_session::close()
+{
+    broken_ = true;
+    stream_.close();
+    wake_.cancel();
+}
+
+asio::awaitable<void> http_session::run()
+{
+    const auto self = shared_from_this();
+    error_code ignored;
+    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    stream_.socket().set_option(
+        asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
+
+    while (co_await wait_for_request())
+    {
+        if (!co_await read_head())
+            break;
+        co_await serve();
+        const bool unread = !broken_ && !current_->body_complete;
+        end_request();
+        if (unread)
+            co_await drain();
+        if (broken_ || !keep_alive_ || unread)
+            break;
+        parser_.reset();
+        buffer_.shrink_to_fit();
+    }
+    stream_.close();
+    closed_(this);
+}
+
+asio::awaitable<void> http_session::wait_for_wake()
+{
+    error_code ignored;
+    co_await wake_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<bool> http_session::wait_for_request()
+{
+    // The header of a new connection is due at once; later ones may take
+    // until the idle limit.
+    const auto limit =
+        first_request_ ? settings_.read_timeout : settings_.idle_timeout;
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    first_request_ = false;
+    if (buffer_.size() == 0)
+        start_monitor();
+    while (monitoring_ && !broken_)
+    {
+        wake_.expires_at(deadline);
+        co_await wait_for_wake();
+        if (std::chrono::steady_clock::now() >= deadline)
+            co_return false;
+    }
+    co_return !broken_;
+}
+
+void http_session::start_monitor()
+{
+    // Without room the connection is not watched; its end is then seen by
+    // the next write.
+    const bool room = buffer_.max_size() - buffer_.size() >= monitor_bytes;
+    if (monitoring_ || broken_ || !room)
+        return;
+    monitoring_ = true;
+    stream_.expires_never();
+    stream_.async_read_some(
+        buffer_.prepare(monitor_bytes),
+        [self = shared_from_this()](error_code ec, std::size_t n)
+        {
+            self->monitoring_ = false;
+            self->buffer_.commit(n);
+            self->broken_ = self->broken_ || ec.failed();
+            self->wake_.cancel();
+        });
+}
+
+asio::awaitable<bool> http_session::read_head()
+{
+    parser_.emplace();
+    parser_->header_limit(
+        static_cast<std::uint32_t>(settings_.max_header_bytes));
+    parser_->body_limit(boost::none);
+    stream_.expires_after(settings_.read_timeout);
+    auto [ec, n] = co_await bhttp::async_read_header(stream_, buffer_, *parser_,
+                                                     as_result);
+    if (!ec)
+    {
+        take_head();
+        co_return true;
+    }
+
+    // Input that is no HTTP is answered; a lost connection is not.
+    const bool too_large =
+        ec == bhttp::error::header_limit || ec == bhttp::error::buffer_overflow;
+    const bool lost =
+        ec.category() != make_error_code(bhttp::error::bad_value).category();
+    if (!lost && ec != bhttp::error::end_of_stream &&
+        ec != bhttp::error::partial_message)
+        co_await refuse(too_large ? result_code::headers_too_large
+                                  : result_code::invalid_request);
+    co_return false;
+}
+
+void http_session::take_head()
+{
+    const auto& message = parser_->get();
+    current_ = std::make_shared<request_state>();
+    auto& head = current_->head;
+    head.method = message.method_string();
+    head.target = message.target();
+    head.authorization = message[bhttp::field::authorization];
+    head.idempotency_key = message["Idempotency-Key"];
+    head.content_type = message[bhttp::field::content_type];
+    head.request_id = common::random_id();
+    head.content_length = parser_->content_length().value_or(0);
+    current_->body_complete = parser_->is_done();
+    expects_continue_ =
+        beast::iequals(message[bhttp::field::expect], "100-continue");
+    keep_alive_ = message.keep_alive();
+    chunked_ = false;
+}
+
+bool http_session::peer_uses_http_1_1() const
+{
+    return parser_ && parser_->get().version() >= 11;
+}
+
+asio::awaitable<void> http_session::serve()
+{
+    const auto state = current_;
+    handler_(http_exchange_ptr(new http_exchange(shared_from_this(), state)));
+    while (!broken_ && !(state->answered && state->steps.empty()))
+    {
+        if (state->reader)
+            co_await read_piece();
+        else if (!state->steps.empty())
+            co_await write_steps();
+        else
+        {
+            if (state->body_complete)
+                start_monitor();
+            wake_.expires_at(std::chrono::steady_clock::time_point::max());
+            co_await wait_for_wake();
+        }
+    }
+}
+
+void http_session::read_body(request_state& state,
+                             http_exchange::body_handler handler)
+{
+    if (state.closed || state.answered)
+    {
+        state.run(
+            [handler = std::move(handler)] {
+                handler(make_error_code(result_code::connection_lost), {},
+                        false);
+            });
+        return;
+    }
+    state.reader = std::move(handler);
+    wake_.cancel();
+}
+
+void http_session::deliver(std::error_code ec, std::string chunk, bool end)
+{
+    auto reader = std::exchange(current_->reader, nullptr);
+    current_->run([reader = std::move(reader), ec, chunk = std::move(chunk),
+                   end]() mutable { reader(ec, std::move(chunk), end); });
+}
+
+asio::awaitable<bool> http_session::send_continue()
+{
+    if (!std::exchange(expects_continue_, false) || buffer_.size() != 0)
+        co_return true;
+    co_return co_await write_all("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+asio::awaitable<void> http_session::read_piece()
+{
+    const auto state = current_;
+    if (state->body_complete)
+        co_return deliver({}, {}, true);
+    if (state->head.content_length > state->max_body_bytes)
+        co_return deliver(make_error_code(result_code::body_too_large), {},
+                          false);
+    if (!co_await send_continue())
+        co_return;
+
+    std::string piece(piece_bytes, '\0');
+    auto& body = parser_->get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    error_code ec;
+    while (!parser_->is_done() && body.size == piece.size() && !ec)
+    {
+        stream_.expires_after(settings_.read_timeout);
+        co_await bhttp::async_read_some(
+            stream_, buffer_, *parser_,
+            asio::redirect_error(asio::use_awaitable, ec));
+    }
+    piece.resize(piece.size() - body.size);
+    state->body_bytes += piece.size();
+    state->body_complete = parser_->is_done();
+
+    if (state->body_bytes > state->max_body_bytes)
+        co_return deliver(make_error_code(result_code::body_too_large), {},
+                          false);
+    if (!ec || ec == bhttp::error::need_buffer)
+        co_return deliver({}, std::move(piece), state->body_complete);
+
+    // A chunk header that is no HTTP can still be answered.
+    if (ec.category() == make_error_code(bhttp::error::bad_chunk).category() &&
+        ec != bhttp::error::partial_message)
+        co_return deliver(make_error_code(result_code::invalid_request), {},
+                          false);
+    broken_ = true;
+    deliver(make_error_code(ec == beast::error::timeout
+                                ? result_code::deadline_exceeded
+                                : result_code::connection_lost),
+            {}, false);
+}
+
+void http_session::add_step(request_state& state, answer_step step)
+{
+    if (state.closed || state.answered)
+    {
+        if (step.handler)
+            state.run(
+                [handler = std::move(step.handler)]
+                { handler(make_error_code(result_code::connection_lost)); });
+        return;
+    }
+    state.answered =
+        step.what != step_kind::start && step.what != step_kind::piece;
+    state.steps.push_back(std::move(step));
+    wake_.cancel();
+}
+
+void http_session::release_unanswered(request_state& state)
+{
+    const bool started = state.steps.size() > 0 || chunked_;
+    if (started)
+        return add_step(state, {step_kind::abort, {}, {}, {}});
+    auto answer = error_answer(rejection(result_code::internal_error),
+                               state.head.request_id);
+    add_step(
+        state,
+        {step_kind::whole, std::move(answer.head), std::move(answer.body), {}});
+}
+
+std::string http_session::head_text(const answer_head& head,
+                                    std::optional<std::size_t> length)
+{
+    if (head.close || !current_->body_complete)
+        keep_alive_ = false;
+    chunked_ = !length;
+    if (chunked_ && !peer_uses_http_1_1())
+        keep_alive_ = false;
+
+    std::string out = "HTTP/1.1 " + std::to_string(head.status) + ' ';
+    out += bhttp::obsolete_reason(static_cast<bhttp::status>(head.status));
+    out += "\r\nContent-Type: " + head.content_type;
+    if (length && !has_no_body(head.status))
+        out += "\r\nContent-Length: " + std::to_string(*length);
+    else if (chunked_ && peer_uses_http_1_1())
+        out += "\r\nTransfer-Encoding: chunked\r\nCache-Control: no-store";
+    out += "\r\nX-Request-Id: " + current_->head.request_id;
+    if (head.retry_after_s != 0)
+        out += "\r\nRetry-After: " + std::to_string(head.retry_after_s);
+    out += keep_alive_ ? "\r\nConnection: keep-alive\r\n\r\n"
+                       : "\r\nConnection: close\r\n\r\n";
+    return out;
+}
+
+void http_session::append_step(std::string& out, const answer_step& step)
+{
+    const bool without_body = current_->head.method == "HEAD";
+    switch (step.what)
+    {
+    case step_kind::whole:
+        out += head_text(step.head, step.data.size());
+        if (!without_body && !has_no_body(step.head.status))
+            out += step.data;
+        break;
+    case step_kind::start:
+        out += head_text(step.head, std::nullopt);
+        break;
+    case step_kind::piece:
+        if (step.data.empty() || without_body)
+            break;
+        if (peer_uses_http_1_1())
+            out += beast::buffers_to_string(
+                bhttp::make_chunk(asio::buffer(step.data)));
+        else
+            out += step.data;
+        break;
+    case step_kind::finish:
+        if (peer_uses_http_1_1() && !without_body)
+            out += beast::buffers_to_string(bhttp::make_chunk_last());
+        break;
+    case step_kind::abort:
+        break;
+    }
+}
+
+asio::awaitable<void> http_session::write_steps()
+{
+    const auto state = current_;
+
+    // All waiting steps go out with one write.
+    std::string out;
+    std::vector<http_exchange::written_handler> handlers;
+    bool aborted = false;
+    while (!state->steps.empty())
+    {
+        auto step = std::move(state->steps.front());
+        state->steps.pop_front();
+        append_step(out, step);
+        if (step.handler)
+            handlers.push_back(std::move(step.handler));
+        aborted = aborted || step.what == step_kind::abort;
+    }
+    const bool written = co_await write_all(out);
+    const auto ec = written ? std::error_code()
+                            : make_error_code(result_code::connection_lost);
+    for (auto& it : handlers)
+        state->run([handler = std::move(it), ec] { handler(ec); });
+    if (!aborted)
+        co_return;
+
+    // HTTP/1.0 has no end mark: only a reset shows that the answer is cut.
+    error_code ignored;
+    if (!peer_uses_http_1_1())
+        stream_.socket().set_option(asio::socket_base::linger(true, 0),
+                                    ignored);
+    keep_alive_ = false;
+}
+
+asio::awaitable<bool> http_session::write_all(std::string_view data)
+{
+    while (!data.empty() && !broken_)
+    {
+        stream_.expires_after(settings_.write_timeout);
+        const auto [ec, n] = co_await stream_.async_write_some(
+            asio::buffer(data.data(), data.size()), as_result);
+        data.remove_prefix(n);
+        broken_ = broken_ || ec.failed();
+    }
+    co_return !broken_;
+}
+
+asio::awaitable<void> http_session::drain()
+{
+    error_code ignored;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    buffer_.clear();
+    std::string discarded(piece_bytes, '\0');
+    std::size_t total = 0;
+    stream_.expires_after(drain_time);
+    while (total < max_drained_bytes)
+    {
+        const auto [ec, n] = co_await stream_.async_read_some(
+            asio::buffer(discarded), as_result);
+        total += n;
+        if (ec)
+            break;
+    }
+}
+
+asio::awaitable<void> http_session::refuse(result_code code)
+{
+    current_ = std::make_shared<request_state>();
+    current_->head.request_id = common::random_id();
+    const auto answer =
+        error_answer(rejection(code), current_->head.request_id);
+    const auto out = head_text(answer.head, answer.body.size()) + answer.body;
+    if (co_await write_all(out))
+        co_await drain();
+    current_.reset();
+}
+
+void http_session::end_request()
+{
+    const auto state = std::exchange(current_, nullptr);
+    state->closed = true;
+    const auto lost = make_error_code(result_code::connection_lost);
+    const bool complete = state->answered && state->steps.empty() && !broken_;
+    if (auto reader = std::exchange(state->reader, nullptr))
+        state->run([reader = std::move(reader), lost]
+                   { reader(lost, {}, false); });
+    for (auto& it : state->steps)
+    {
+        if (it.handler)
+            state->run([handler = std::move(it.handler), lost]
+                       { handler(lost); });
+    }
+    state->steps.clear();
+    auto hook = std::exchange(state->abandoned, nullptr);
+    if (!complete && hook)
+        state->run(std::move(hook));
+}
+
+} // namespace tanagertrack::http
--- /dev/null
+++ b/src/http/http_session.hpp
@@ -0,0 +1,97 @@
+#ifndef TANAGERTRACK_HTTP_HTTP_SESSION_HPP
+#define TANAGERTRACK_HTTP_HTTP_SESSION_HPP
+
+#include "http/http_exchange.hpp"
+#include "http/http_settings.hpp"
+#include "http/request_state.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tanagertrack::http
+{
+
+/// One connection of an HTTP/1.1 server. Serves its requests one after the
+/// other. Lives on the server's thread.
+class http_session : public std::enable_shared_from_this<http_session>
+{
+public:
+    using request_handler = std::function<void(http_exchange_ptr)>;
+
+    /// `settings` outlives the session. `closed` is called at the end.
+    http_session(boost::asio::ip::tcp::socket socket,
+                 const http_settings& settings, request_handler handler,
+                 std::function<void(http_session*)> closed);
+
+    /// Serves until the connection ends.
+    boost::asio::awaitable<void> run();
+
+    /// Closes the connection.
+    void close();
+
+    boost::asio::any_io_executor executor();
+
+    /// Takes a call of an exchange.
+    void read_body(request_state& state, http_exchange::body_handler handler);
+    void add_step(request_state& state, answer_step step);
+    void release_unanswered(request_state& state);
+
+private:
+    using parser =
+        boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+    boost::asio::awaitable<bool> wait_for_request();
+    boost::asio::awaitable<bool> read_head();
+    boost::asio::awaitable<void> serve();
+    boost::asio::awaitable<void> read_piece();
+    boost::asio::awaitable<bool> send_continue();
+    boost::asio::awaitable<void> write_steps();
+    boost::asio::awaitable<bool> write_all(std::string_view data);
+    boost::asio::awaitable<void> drain();
+    boost::asio::awaitable<void> refuse(common::result_code code);
+    boost::asio::awaitable<void> wait_for_wake();
+
+    std::string head_text(const answer_head& head,
+                          std::optional<std::size_t> length);
+    void append_step(std::string& out, const answer_step& step);
+    void take_head();
+    void start_monitor();
+    void deliver(std::error_code ec, std::string chunk, bool end);
+    void end_request();
+    bool peer_uses_http_1_1() const;
+
+    boost::beast::tcp_stream stream_;
+    const http_settings& settings_;
+    request_handler handler_;
+    std::function<void(http_session*)> closed_;
+    boost::asio::steady_timer wake_;
+    boost::beast::flat_buffer buffer_;
+
+    // State of the current request.
+    std::optional<parser> parser_;
+    std::shared_ptr<request_state> current_;
+    bool expects_continue_ = false;
+    bool keep_alive_ = false;
+    bool chunked_ = false;
+
+    // State of the connection.
+    bool monitoring_ = false;
+    bool broken_ = false;
+    bool first_request_ = true;
+};
+
+} // namespace tanagertrack::http
+
+#endif
