--- a/src/platform/target_service.hpp
+++ b/src/platform/target_service.hpp
@@ -19,6 +19,14 @@
     std::string content_type = "application/json";
     std::string body;
 
+    /// Identifies the attempt in the target's log (header X-Work-Id).
+    std::string work_id;
+
+    /// Whether the call may be sent a second time when a connection kept from
+    /// an earlier call turns out to be closed. Other calls get a connection
+    /// of their own and are sent once.
+    bool repeatable = true;
+
     /// Whether the answer comes as server-sent events.
     bool stream = false;
 
@@ -48,8 +56,9 @@
     /// The answer is complete (any HTTP status).
     std::function<void(target_answer)> on_finished;
 
-    /// No complete answer: `no_target` when the connection was refused before
-    /// anything was sent, `connection_lost` or `deadline_exceeded` after.
+    /// No complete answer: `no_target` when no connection was made and nothing
+    /// was sent; `connection_lost`, `deadline_exceeded`, or `protocol_error`
+    /// (not HTTP, or over a limit) after `on_sent`.
     std::function<void(std::error_code)> on_failed;
 };
 
