Add the service, host list, weight store and proxy stand-ins

Cause: tests need plain services that keep an account of executions, a lagging host list, a rate-limited weight store, and faults between two processes.

Ruled out: faults of the connection inside each stand-in; a proxy also reaches the streams between the daemons.

--- a/test/standin/fault_table.cpp
+++ b/test/standin/fault_table.cpp
@@ -67,7 +67,7 @@
     changed_ = std::move(hook);
 }
 
-std::string fault_table::apply(std::string_view text)
+std::string fault_table::check(std::string_view text) const
 {
     json::error_code ec;
     const auto document = json::parse(text, ec);
@@ -76,7 +76,15 @@
     for (const auto& it : document.get_object())
         if (!fields_.contains(std::string_view(it.key())))
             return "unknown field " + std::string(it.key());
+    return {};
+}
 
+std::string fault_table::apply(std::string_view text)
+{
+    auto error = check(text);
+    if (!error.empty())
+        return error;
+    const auto document = json::parse(text);
     for (const auto& it : document.get_object())
         if (!fields_.find(std::string_view(it.key()))->second(it.value()))
             return "invalid value of " + std::string(it.key());
--- a/test/standin/fault_table.hpp
+++ b/test/standin/fault_table.hpp
@@ -37,6 +37,10 @@
     /// Sets a function that is called after each accepted change.
     void on_change(std::function<void()> hook);
 
+    /// Whether `json` is an object with known fields only; otherwise what is
+    /// wrong with it.
+    std::string check(std::string_view json) const;
+
     /// Applies a JSON object. Returns an empty text, or what is wrong with
     /// it; an object with an unknown field changes nothing.
     std::string apply(std::string_view json);
--- a/test/standin/http_server.cpp
+++ b/test/standin/http_server.cpp
@@ -76,7 +76,7 @@
     }
     else if (path == "/control/fault")
     {
-        const auto error = service_.faults().apply(exchange.body());
+        const auto error = service_.apply_fault(exchange.body());
         boost::json::object answer;
         answer["error"] = error;
         co_await exchange.respond_json(error.empty() ? 200 : 400, answer);
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -1,6 +1,10 @@
 #include "standin/engine_stand_in.hpp"
+#include "standin/host_list_stand_in.hpp"
 #include "standin/http_server.hpp"
 #include "standin/log_stand_in.hpp"
+#include "standin/service_stand_in.hpp"
+#include "standin/tcp_proxy.hpp"
+#include "standin/weight_store_stand_in.hpp"
 
 #include "common/endpoint.hpp"
 
@@ -29,8 +33,14 @@
 {
     std::string kind;
     std::string listen;
+    std::string control;
+    std::string upstream;
+    std::string name;
+    std::string hosts;
+    std::int64_t lag_ms = 5000;
     standin::log_settings log;
     standin::engine_settings engine;
+    standin::weight_store_settings weights;
 };
 
 /// Binds integer options of the command line to settings.
@@ -71,10 +81,21 @@
     options out;
     TCLAP::CmdLine cmd("Stand-in for a platform service, for tests.", ' ',
                        "0.1.0");
-    TCLAP::ValueArg<std::string> kind("", "kind", "engine or log", true, "",
-                                      "KIND", cmd);
+    TCLAP::ValueArg<std::string> kind(
+        "", "kind", "engine, service, log, hosts, weights or proxy", true, "",
+        "KIND", cmd);
     TCLAP::ValueArg<std::string> listen("", "listen", "address", true, "",
                                         "IP:PORT", cmd);
+    TCLAP::ValueArg<std::string> control("", "control",
+                                         "proxy: address of its HTTP paths",
+                                         false, "", "IP:PORT", cmd);
+    TCLAP::ValueArg<std::string> upstream("", "upstream",
+                                          "proxy: where connections go", false,
+                                          "", "IP:PORT", cmd);
+    TCLAP::ValueArg<std::string> name("", "name", "service: name in answers",
+                                      false, "service", "NAME", cmd);
+    TCLAP::ValueArg<std::string> hosts("", "hosts", "hosts: live hosts", false,
+                                       "127.0.0.1", "IP,...", cmd);
     TCLAP::SwitchArg check_fencing("", "check-fencing",
                                    "engine: refuse old fencing numbers", cmd);
     integer_options integers(cmd);
@@ -103,10 +124,20 @@
     integers.add("max-seen", engine.max_seen,
                  "engine: executions listed for checkers");
 
+    integers.add("lag-ms", out.lag_ms, "hosts: delay of changes");
+    integers.add("reads-per-second", out.weights.reads_per_second,
+                 "weights: reads answered in a second");
+    integers.add("weight-bytes", out.weights.weight_bytes,
+                 "weights: size of each model");
+
     cmd.parse(argc, argv);
     integers.store();
     out.kind = kind.getValue();
     out.listen = listen.getValue();
+    out.control = control.getValue();
+    out.upstream = upstream.getValue();
+    out.name = name.getValue();
+    out.hosts = hosts.getValue();
     engine.check_fencing = check_fencing.getValue();
     return out;
 }
@@ -126,27 +157,44 @@
         std::rethrow_exception(error);
 }
 
-int run(const options& it)
+/// Makes the stand-in of the kind and starts what it runs by itself.
+std::unique_ptr<standin::stand_in>
+make_service(boost::asio::io_context& context, const options& it)
 {
-    boost::asio::io_context context(1);
-    std::unique_ptr<standin::stand_in> service;
     const auto executor = context.get_executor();
     if (it.kind == "log")
+        return std::make_unique<standin::log_stand_in>(executor, it.log);
+    if (it.kind == "service")
+        return std::make_unique<standin::service_stand_in>(it.name);
+    if (it.kind == "hosts")
+        return std::make_unique<standin::host_list_stand_in>(it.hosts,
+                                                             it.lag_ms);
+    if (it.kind == "weights")
+        return std::make_unique<standin::weight_store_stand_in>(it.weights);
+    if (it.kind == "engine")
     {
-        service = std::make_unique<standin::log_stand_in>(executor, it.log);
-    }
-    else if (it.kind == "engine")
-    {
-        auto engine =
+        auto out =
             std::make_unique<standin::engine_stand_in>(executor, it.engine);
-        boost::asio::co_spawn(context, engine->run(), rethrow);
-        service = std::move(engine);
+        boost::asio::co_spawn(context, out->run(), rethrow);
+        return out;
     }
-    else
+    if (it.kind == "proxy")
     {
-        throw std::invalid_argument(it.kind + ": unknown kind");
+        auto out = std::make_unique<standin::tcp_proxy>(
+            executor, parse_address(it.listen), parse_address(it.upstream));
+        boost::asio::co_spawn(context, out->run(), rethrow);
+        return out;
     }
-    standin::http_server server(executor, parse_address(it.listen), *service);
+    throw std::invalid_argument(it.kind + ": unknown kind");
+}
+
+int run(const options& it)
+{
+    boost::asio::io_context context(1);
+    const auto service = make_service(context, it);
+    const auto& address = it.kind == "proxy" ? it.control : it.listen;
+    standin::http_server server(context.get_executor(), parse_address(address),
+                                *service);
     boost::asio::co_spawn(context, server.run(), rethrow);
     context.run();
     return EXIT_SUCCESS;
--- /dev/null
+++ b/test/standin/service_stand_in.cpp
@@ -0,0 +1,77 @@
+#include "standin/service_stand_in.hpp"
+
+#include "common/clock.hpp"
+#include "standin/answer_text.hpp"
+#include "standin/notifier.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+
+#include <utility>
+
+namespace tanagertrack::standin
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+service_stand_in::service_stand_in(std::string name) : name_(std::move(name))
+{
+    faults().add("answer_delay_ms", answer_delay_ms_);
+    faults().add("fail_next", fail_next_);
+    faults().add("drop_answers", drop_answers_);
+}
+
+asio::awaitable<void> service_stand_in::handle(http_exchange& exchange)
+{
+    json::object answer;
+    answer["service"] = name_;
+    if (take_one(fail_next_))
+    {
+        answer["error"] = "injected failure";
+        co_await exchange.respond_json(500, answer);
+        co_return;
+    }
+    execute(exchange);
+    answer["execution"] = executions_;
+    json::error_code ec;
+    auto echo = json::parse(exchange.body(), ec);
+    answer["echo"] = ec ? json::value(exchange.body()) : std::move(echo);
+    if (answer_delay_ms_ > 0)
+        co_await pause(std::chrono::milliseconds(answer_delay_ms_));
+    if (take_one(drop_answers_))
+        exchange.drop();
+    else
+        co_await exchange.respond_json(200, answer);
+}
+
+json::object service_stand_in::seen() const
+{
+    json::array executed;
+    for (const auto& it : seen_)
+    {
+        json::object row;
+        row["n"] = it.number;
+        row["method"] = it.method;
+        row["path"] = it.path;
+        row["body_hash"] = it.body_hash;
+        row["work_id"] = it.work_id;
+        row["at_ms"] = it.at_ms;
+        executed.push_back(std::move(row));
+    }
+    json::object out;
+    out["executions"] = executions_;
+    out["executed"] = std::move(executed);
+    return out;
+}
+
+void service_stand_in::execute(const http_exchange& exchange)
+{
+    seen_.push_back({++executions_, std::string(exchange.method()),
+                     std::string(exchange.path()), prompt_hash(exchange.body()),
+                     exchange.header("X-Work-Id"), common::unix_time_ms()});
+    if (seen_.size() > max_seen)
+        seen_.pop_front();
+}
+
+} // namespace tanagertrack::standin
--- /dev/null
+++ b/test/standin/service_stand_in.hpp
@@ -0,0 +1,51 @@
+#ifndef TANAGERTRACK_STANDIN_SERVICE_STAND_IN_HPP
+#define TANAGERTRACK_STANDIN_SERVICE_STAND_IN_HPP
+
+#include "standin/stand_in.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace tanagertrack::standin
+{
+
+/// Plain service that executes any call and keeps an account of it. Faults:
+/// `answer_delay_ms` (time between execution and answer), `fail_next` (the
+/// next calls get 500 and are not executed), `drop_answers` (the next calls
+/// are executed and their connections close without an answer).
+class service_stand_in : public stand_in
+{
+public:
+    explicit service_stand_in(std::string name);
+
+    boost::asio::awaitable<void> handle(http_exchange& exchange) override;
+    boost::json::object seen() const override;
+
+private:
+    /// Executions listed for checkers; older ones are dropped.
+    static constexpr std::size_t max_seen = 20000;
+
+    struct execution
+    {
+        std::uint64_t number = 0;
+        std::string method;
+        std::string path;
+        std::string body_hash;
+        std::string work_id;
+        std::uint64_t at_ms = 0;
+    };
+
+    void execute(const http_exchange& exchange);
+
+    std::string name_;
+    std::deque<execution> seen_;
+    std::uint64_t executions_ = 0;
+    std::int64_t answer_delay_ms_ = 0;
+    std::int64_t fail_next_ = 0;
+    std::int64_t drop_answers_ = 0;
+};
+
+} // namespace tanagertrack::standin
+
+#endif
--- a/test/standin/stand_in.hpp
+++ b/test/standin/stand_in.hpp
@@ -8,6 +8,8 @@
 #include <boost/json/object.hpp>
 
 #include <cstdint>
+#include <string>
+#include <string_view>
 
 namespace tanagertrack::standin
 {
@@ -34,6 +36,13 @@
     /// What was done so far, for checkers.
     virtual boost::json::object seen() const = 0;
 
+    /// Applies the body of POST /control/fault. Returns an empty text, or
+    /// what is wrong with it.
+    virtual std::string apply_fault(std::string_view text)
+    {
+        return faults_.apply(text);
+    }
+
     fault_table& faults()
     {
         return faults_;
