Implement the fold of a batch stream

partition_state applies the records of one partition: claims and fencing, intakes and commits, first completions, intents and outcomes, cancel, forget and checkpoints in parts.

--- a/src/state/job.hpp
+++ b/src/state/job.hpp
@@ -57,7 +57,8 @@
 class job
 {
 public:
-    /// `chunks` cover the items 0 to commit.item_count() - 1, ascending.
+    /// `chunks` cover the items 0 to commit.item_count() - 1, ascending; while
+    /// a checkpoint is loaded, `add_chunk` adds them later.
     /// `accepted_offset` is the offset of the job_commit.
     job(proto::JobCommit commit, std::uint64_t accepted_offset,
         std::vector<chunk_location> chunks);
@@ -108,6 +109,13 @@
     /// Marks the job as cancelled.
     void cancel();
 
+    /// Adds the chunk after the last one. Returns false, and changes nothing,
+    /// when its items don't follow directly or are more than the job has.
+    bool add_chunk(const chunk_location& chunk);
+
+    /// Whether the chunks cover all items.
+    bool is_covered() const;
+
     /// Records the completion of a pending item. `status` is not pending.
     void complete(std::uint32_t item, proto::ItemStatus status,
                   entry_location place);
@@ -123,6 +131,8 @@
     void set_intent(std::uint32_t item);
 
 private:
+    bool has_pending(const chunk_location& chunk) const;
+
     proto::JobCommit commit_;
     std::uint64_t accepted_offset_;
     bool cancelled_ = false;
--- a/src/state/partition_state.hpp
+++ b/src/state/partition_state.hpp
@@ -5,6 +5,7 @@
 #include "state/job.hpp"
 #include "state/partition_hooks.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -89,7 +90,9 @@
 ///   claim stays current until it is replaced. A claim with `first_kept` is
 ///   also valid if the last complete checkpoint, or else the stream's start,
 ///   lies before `first_kept`: the state could not be read from the log any
-///   more and starts empty. A new claim drops intakes without a commit.
+///   more and starts empty; a reader may start at such a claim. A new claim
+///   drops intakes without a commit. The sequence of a claim's record doesn't
+///   matter; records under the claim count from 1.
 /// - Any other record is valid if its claim offset is the current claim's,
 ///   that claim is not released, its writer is the claim's writer, and its
 ///   sequence is above the last valid one of the claim. A void record has no
@@ -153,7 +156,8 @@
     /// Last valid sequence number of the current claim; 0: none yet.
     std::uint64_t last_sequence() const;
 
-    /// Offset of the first part of the last complete checkpoint; 0: none.
+    /// Where a reader may start: offset of the first part of the last complete
+    /// checkpoint, or of a later claim that started empty; 0: offset 1.
     std::uint64_t checkpoint_offset() const;
 
     /// Accepted job, or null. Valid until the job is forgotten or the state
@@ -178,8 +182,8 @@
     std::size_t call_count() const;
     std::size_t intake_count() const;
 
-    /// Sum over all jobs.
-    const item_counts& counts() const;
+    /// Sum over all jobs. Takes time linear in their number.
+    item_counts counts() const;
 
     /// Lowest offset that holds a body, result or outcome of live state; the
     /// holder appends what is there again (`moved`) before it expires. 0: no
@@ -209,13 +213,6 @@
         std::vector<chunk_location> chunks;
     };
 
-    /// What a state that is not live has found so far.
-    struct start_progress
-    {
-        /// Highest claim offset in a record since the reset.
-        std::uint64_t newest_claim = 0;
-    };
-
     /// Parts of a checkpoint read so far.
     struct checkpoint_progress
     {
@@ -223,12 +220,15 @@
         std::uint32_t next_part = 0;
     };
 
+    /// 128-bit hash of a job id; a std::string would take its own allocation.
+    using id_hash = std::array<char, 16>;
     using job_map = std::map<std::string, job, std::less<>>;
     using call_map = std::map<std::string, call_info, std::less<>>;
 
     void clear();
-    bool is_malformed(const proto::PartitionRecord& record) const;
+    static bool is_malformed(const proto::PartitionRecord& record);
     record_verdict judge(const proto::PartitionRecord& record) const;
+    bool shows_replaced_adoption(std::uint64_t claim_offset) const;
     record_verdict apply_claim(std::uint64_t offset,
                                const proto::PartitionRecord& record,
                                const partition_hooks& hooks);
@@ -236,44 +236,56 @@
     record_verdict apply_start(std::uint64_t offset,
                                const proto::PartitionRecord& record,
                                const partition_hooks& hooks);
+    record_verdict load_record(std::uint64_t offset,
+                               const proto::PartitionRecord& record,
+                               const partition_hooks& hooks);
     void apply_entry(entry_location place, const proto::PartitionEntry& entry,
                      const partition_hooks& hooks);
     void apply_chunk(entry_location place, const proto::JobChunk& chunk);
     void apply_commit(std::uint64_t offset, const proto::JobCommit& commit,
                       const partition_hooks& hooks);
-    std::optional<commit_refusal> judge_commit(const proto::JobCommit& commit,
-                                               const intake* found) const;
+    std::optional<commit_refusal>
+    judge_commit(const proto::JobCommit& commit,
+                 const std::vector<chunk_location>& chunks) const;
     void apply_results(entry_location place, const proto::ItemResults& results,
                        const partition_hooks& hooks);
     void apply_cancel(const std::string& id, const partition_hooks& hooks);
     void apply_forget(const std::string& id, const partition_hooks& hooks);
+    intent_verdict apply_intent(const proto::Intent& intent);
     intent_verdict apply_item_intent(const proto::Intent& intent);
     intent_verdict apply_call_intent(const proto::Intent& intent);
     void apply_outcome(entry_location place, const proto::Outcome& outcome,
                        const partition_hooks& hooks);
-    bool follow_checkpoint(std::uint64_t offset, const proto::Checkpoint& part);
+    void follow_checkpoint(std::uint64_t offset, const proto::Checkpoint& part,
+                           const partition_hooks& hooks);
     bool load_part(const proto::Checkpoint& part);
     bool load_job(const proto::JobIndex& index);
-    void add_forgotten(std::string hash);
-    void add_counts(const item_counts& counts);
-    void subtract_counts(const item_counts& counts);
+    bool load_items(const proto::JobIndex& index, job& owner);
+    void load_intake(const proto::IntakeIndex& index);
+    static id_hash hash_id(std::string_view id);
+    void add_forgotten(id_hash hash);
     std::list<intake>::iterator find_intake(std::string_view job_id,
                                             std::string_view nonce);
 
     partition_limits limits_;
     std::uint64_t next_offset_ = 1;
     bool live_ = true;
-    bool adopted_ = false;
+
+    /// Claim and offset of the checkpoint from which the state was loaded;
+    /// 0 for a state that was never loaded.
+    std::uint64_t adopted_claim_ = 0;
+    std::uint64_t adopted_at_ = 0;
+
+    /// While not live: highest claim offset in a record since the reset.
+    std::uint64_t newest_claim_ = 0;
     claim_info claim_;
     std::uint64_t last_sequence_ = 0;
     std::uint64_t checkpoint_offset_ = 0;
-    start_progress start_;
     std::optional<checkpoint_progress> checkpoint_;
     job_map jobs_;
     call_map calls_;
     std::list<intake> intakes_;
-    std::deque<std::string> forgotten_;
-    item_counts counts_;
+    std::deque<id_hash> forgotten_;
 };
 
 } // namespace tanagertrack::state
