Add the routing policies

Subset, choice of target, detection of slow targets, retry budget and team limits are pure: time and randomness are arguments, and each policy has a baseline in the settings.

Subsets use weighted rendezvous hashing. Filling a subset with near targets first was ruled out: far targets would be without connections wherever entries are not spread like targets. With weights 4, 2 and 1 by distance, 60 entries with 20 connections each use each of 100 targets between 3 and 30 times (test_routing).

A slow target gets no traffic but one try in 500 requests of its pool, or every 10 s, so that tries stay below the 99th percentile.

--- /dev/null
+++ b/test/routing/test_routing.cpp
@@ -0,0 +1,256 @@
+#include "routing/retry_budget.hpp"
+#include "routing/slow_target_detector.hpp"
+#include "routing/subset.hpp"
+#include "routing/target_choice.hpp"
+#include "routing/team_limits.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+using namespace tanagertrack;
+using namespace tanagertrack::routing;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr unsigned seed = 20261204;
+
+random_below make_random()
+{
+    BOOST_TEST_MESSAGE("seed " << seed);
+    return [random = std::mt19937(seed)](std::size_t n) mutable
+    {
+        return std::uniform_int_distribution<std::size_t>(0, n - 1)(random);
+    };
+}
+
+common::time_point at(int ms)
+{
+    return common::time_point(milliseconds(1000000 + ms));
+}
+
+struct fleet
+{
+    fleet()
+    {
+        for (int i = 0; i < 100; ++i)
+            names.push_back("lm-" + std::to_string(i));
+        for (std::size_t i = 0; i < names.size(); ++i)
+            members.push_back({names[i], {centres[i % 4], "rs-sul"}});
+    }
+
+    std::vector<std::size_t> subset(int entry, std::size_t size) const
+    {
+        return choose_subset("entry-" + std::to_string(entry),
+                             {centres[entry % 4], "rs-sul"}, members, size);
+    }
+
+    std::string_view centres[4] = {"poa-a", "poa-b", "cxs-a", "pel-a"};
+    std::vector<std::string> names;
+    std::vector<subset_member> members;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(subsets)
+
+// Guards against targets that no entry uses.
+BOOST_AUTO_TEST_CASE(every_target_is_covered)
+{
+    const fleet it;
+    std::vector<int> uses(it.members.size());
+    int near = 0;
+    for (int entry = 0; entry < 60; ++entry)
+    {
+        for (const auto index : it.subset(entry, 20))
+        {
+            ++uses[index];
+            near +=
+                it.members[index].place.data_centre == it.centres[entry % 4];
+        }
+    }
+    BOOST_TEST(*std::ranges::min_element(uses) >= 3);
+    BOOST_TEST(*std::ranges::max_element(uses) <= 30);
+
+    // A quarter of the connections would be near without preference.
+    BOOST_TEST(near > 60 * 20 / 3);
+}
+
+// Guards against a mass of reconnections when the fleet changes.
+BOOST_AUTO_TEST_CASE(removed_target_changes_one_place)
+{
+    fleet it;
+    const auto before = it.subset(1, 20);
+    const auto removed = before[3];
+    std::set<std::string_view> expected;
+    for (const auto index : before)
+        expected.insert(it.members[index].name);
+    it.members.erase(it.members.begin() + static_cast<std::ptrdiff_t>(removed));
+    int kept = 0;
+    for (const auto index : it.subset(1, 20))
+        kept += static_cast<int>(expected.count(it.members[index].name));
+    BOOST_TEST(kept == 19);
+}
+
+BOOST_AUTO_TEST_CASE(small_fleet_is_taken_whole)
+{
+    const fleet it;
+    BOOST_TEST(it.subset(0, 500).size() == it.members.size());
+    BOOST_TEST(choose_subset("e", {}, {}, 20).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(choice)
+
+BOOST_AUTO_TEST_CASE(two_choices_avoid_the_loaded_target)
+{
+    target_choice choice(choice_policy::two_choices, make_random());
+    std::vector<candidate> all(5);
+    all[2].load = 2;
+    std::vector<int> hits(5);
+    for (int i = 0; i < 1000; ++i)
+        ++hits[choice.choose(all)];
+    BOOST_TEST(hits[2] == 0);
+    for (const std::size_t i : {0, 1, 3, 4})
+        BOOST_TEST(hits[i] > 150);
+}
+
+BOOST_AUTO_TEST_CASE(near_target_is_preferred_until_it_is_fuller)
+{
+    target_choice choice(choice_policy::two_choices, make_random());
+    std::vector<candidate> all(2);
+    all[1].far = distance::other_region;
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST(choice.choose(all) == 0U);
+    all[0].load = 1;
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST(choice.choose(all) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(baselines_ignore_load)
+{
+    std::vector<candidate> all(3);
+    all[0].load = 9;
+    target_choice turns(choice_policy::round_robin, make_random());
+    target_choice dice(choice_policy::random, make_random());
+    std::vector<int> hits(3);
+    for (int i = 0; i < 3000; ++i)
+    {
+        BOOST_TEST(turns.choose(all) == static_cast<std::size_t>(i % 3));
+        ++hits[dice.choose(all)];
+    }
+    BOOST_TEST(hits[0] > 800);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(slow_targets)
+
+namespace
+{
+
+struct pool
+{
+    explicit pool(slow_target_settings settings = {}) : detector(settings)
+    {
+        for (int i = 0; i < 5; ++i)
+            detector.report("lm-" + std::to_string(i), "m", {20000, 100000},
+                            at(0));
+    }
+
+    slow_target_detector detector;
+};
+
+} // namespace
+
+// Guards against a slow target that keeps its share, and against one that
+// never gets traffic again.
+BOOST_FIXTURE_TEST_CASE(slow_target_is_avoided_and_tried_again, pool)
+{
+    detector.report("lm-1", "m", {160000, 100000}, at(10));
+    BOOST_TEST(detector.is_slow("lm-1"));
+    BOOST_TEST(detector.share("lm-1", at(11)) == 0);
+    BOOST_TEST(detector.share("lm-2", at(11)) == 1);
+    for (int i = 0; i < 500; ++i)
+        detector.chosen("lm-2", at(20));
+    BOOST_TEST(detector.share("lm-1", at(20)) == 0);
+    BOOST_TEST(detector.share("lm-1", at(600)) == 1);
+    detector.chosen("lm-1", at(600));
+    BOOST_TEST(detector.share("lm-1", at(1200)) == 0);
+    BOOST_TEST(detector.share("lm-1", at(11000)) == 1);
+
+    // Back to normal: the share grows with each report.
+    detector.report("lm-1", "m", {21000, 100000}, at(700));
+    BOOST_TEST(detector.share("lm-1", at(701)) == 0.25);
+    detector.report("lm-1", "m", {21000, 100000}, at(800));
+    detector.report("lm-1", "m", {21000, 100000}, at(900));
+    BOOST_TEST(detector.share("lm-1", at(901)) == 1);
+}
+
+// Guards against comparing targets that serve different models.
+BOOST_FIXTURE_TEST_CASE(other_pools_are_not_compared, pool)
+{
+    detector.report("big-1", "big", {400000, 900000}, at(0));
+    detector.report("big-2", "big", {410000, 900000}, at(0));
+    detector.report("big-3", "big", {390000, 900000}, at(0));
+    BOOST_TEST(!detector.is_slow("big-1"));
+    BOOST_TEST(!detector.is_slow("big-2"));
+}
+
+BOOST_AUTO_TEST_CASE(baseline_ignores_slowness)
+{
+    slow_target_settings off;
+    off.enabled = false;
+    pool it(off);
+    it.detector.report("lm-1", "m", {160000, 100000}, at(10));
+    BOOST_TEST(it.detector.share("lm-1", at(11)) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(limits)
+
+// Guards against retries that multiply a failure of many targets.
+BOOST_AUTO_TEST_CASE(retries_stay_within_their_share)
+{
+    retry_budget budget({0.1, 5});
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        budget.add_request();
+        taken += budget.take() ? 1 : 0;
+    }
+    BOOST_TEST(taken >= 100);
+    BOOST_TEST(taken <= 105);
+    retry_budget none({0, 5});
+    BOOST_TEST(!none.take());
+}
+
+BOOST_AUTO_TEST_CASE(team_over_its_rate_is_told_when_to_return)
+{
+    team_limits limits(2);
+    const team_rate rate{2, 3};
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST((limits.take("a", rate, at(0)) == common::duration()));
+    const auto wait = limits.take("a", rate, at(0));
+    BOOST_TEST((wait > milliseconds(499) && wait < milliseconds(501)));
+    BOOST_TEST((limits.take("a", rate, at(0) + wait) == common::duration()));
+    BOOST_TEST((limits.take("b", rate, at(0)) == common::duration()));
+}
+
+// Guards against a table that grows with the number of teams.
+BOOST_AUTO_TEST_CASE(team_table_is_bounded)
+{
+    team_limits limits(2);
+    const team_rate rate{2, 1};
+    for (int i = 0; i < 100; ++i)
+        (void)limits.take("t" + std::to_string(i), rate, at(i));
+    BOOST_TEST(limits.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
