--- a/scripts/make-fleet.sh
+++ b/scripts/make-fleet.sh
@@ -126,7 +126,7 @@
 
 {
     echo "# $title"
-    echo "number: 1"
+    echo "ticket: 1"
     echo "models:"
     echo "  - name: $model"
     echo "services:"
