--- /dev/null
+++ b/src/state/config_state.cpp
@@ -0,0 +1,512 @@
+#include "state/config_state.hpp"
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+
+namespace tanagertrack::state
+{
+
+namespace
+{
+
+using google::protobuf::RepeatedPtrField;
+
+/// Bytes of an object's message beside its texts, an estimate.
+constexpr std::size_t message_bytes = 160;
+
+const std::string& key_of(const proto::RemovedSpec& spec)
+{
+    return spec.object();
+}
+
+template<typename Spec>
+const std::string& key_of(const Spec& spec)
+{
+    return spec.name();
+}
+
+/// First object of a sorted list whose key is not below `key`.
+template<typename List>
+auto lower_bound(List& list, std::string_view key)
+{
+    return std::lower_bound(list.begin(), list.end(), key,
+                            [](const auto& spec, std::string_view wanted)
+                            { return key_of(spec) < wanted; });
+}
+
+template<typename Spec>
+const Spec* find(const RepeatedPtrField<Spec>& list, std::string_view key)
+{
+    const auto found = lower_bound(list, key);
+    return found != list.end() && key_of(*found) == key ? &*found : nullptr;
+}
+
+template<typename Spec>
+void erase(RepeatedPtrField<Spec>& list, std::string_view key)
+{
+    const auto found = lower_bound(list, key);
+    if (found != list.end() && key_of(*found) == key)
+        list.erase(found);
+}
+
+/// Replaces or adds objects. Sorting moves only pointers.
+template<typename Spec>
+void merge(RepeatedPtrField<Spec>& list, const std::vector<Spec>& changes)
+{
+    std::vector<const Spec*> added;
+    for (const auto& it : changes)
+    {
+        const auto found = lower_bound(list, key_of(it));
+        if (found != list.end() && key_of(*found) == key_of(it))
+            *found = it;
+        else
+            added.push_back(&it);
+    }
+    if (added.empty())
+        return;
+    for (const auto* it : added)
+        *list.Add() = *it;
+    std::sort(list.pointer_begin(), list.pointer_end(),
+              [](const Spec* a, const Spec* b)
+              { return key_of(*a) < key_of(*b); });
+}
+
+/// Number of objects in `changes` that `list` does not have.
+template<typename Spec>
+std::size_t count_new(const RepeatedPtrField<Spec>& list,
+                      const std::vector<Spec>& changes)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(changes, [&list](const Spec& it)
+                              { return find(list, key_of(it)) == nullptr; }));
+}
+
+struct object_name
+{
+    std::string_view kind;
+    std::string_view name;
+};
+
+object_name split(std::string_view object)
+{
+    const auto slash = object.find('/');
+    BOOST_ASSERT(slash != std::string_view::npos);
+    return {object.substr(0, slash), object.substr(slash + 1)};
+}
+
+/// Ticket number of an existing object; 0: there is none.
+std::uint64_t existing_number(const proto::FleetConfig& config,
+                              std::string_view object)
+{
+    const auto number = [](const auto* spec)
+    {
+        return spec == nullptr ? std::uint64_t{0} : spec->ticket();
+    };
+    const auto [kind, name] = split(object);
+    if (kind == "targets")
+        return number(find(config.targets(), name));
+    if (kind == "models")
+        return number(find(config.models(), name));
+    if (kind == "services")
+        return number(find(config.services(), name));
+    return number(find(config.teams(), name));
+}
+
+void erase_object(proto::FleetConfig& config, std::string_view object)
+{
+    const auto [kind, name] = split(object);
+    if (kind == "targets")
+        erase(*config.mutable_targets(), name);
+    else if (kind == "models")
+        erase(*config.mutable_models(), name);
+    else if (kind == "services")
+        erase(*config.mutable_services(), name);
+    else
+        erase(*config.mutable_teams(), name);
+}
+
+/// Whether the ticket or the configuration has the model or service, and the
+/// ticket does not remove it.
+bool knows_name(const proto::FleetConfig& config, const config::ticket& ticket,
+                const std::string& name)
+{
+    const auto removes = [&ticket](const std::string& object)
+    {
+        return std::ranges::binary_search(ticket.removed, object);
+    };
+    const auto sets = [&name](const auto& list)
+    {
+        return std::ranges::binary_search(
+            list, name, {},
+            [](const auto& it) -> const std::string& { return it.name(); });
+    };
+
+    const bool model =
+        sets(ticket.models) ||
+        (find(config.models(), name) != nullptr && !removes("models/" + name));
+    const bool service =
+        sets(ticket.services) || (find(config.services(), name) != nullptr &&
+                                  !removes("services/" + name));
+    return model || service;
+}
+
+/// Drops the removed objects with the lowest numbers above the limit.
+void trim_removed(proto::FleetConfig& config, std::size_t max_removed)
+{
+    auto& list = *config.mutable_removed();
+    while (static_cast<std::size_t>(list.size()) > max_removed)
+    {
+        const auto oldest = std::ranges::min_element(
+            list, {}, [](const proto::RemovedSpec& it) { return it.ticket(); });
+        config.set_removed_floor(
+            std::max(config.removed_floor(), oldest->ticket()));
+        list.erase(oldest);
+    }
+}
+
+/// Drops the oldest accepted tickets above the limit.
+void trim_accepted(proto::FleetConfig& config, std::size_t max_accepted)
+{
+    auto& list = *config.mutable_accepted();
+    while (static_cast<std::size_t>(list.size()) > max_accepted)
+    {
+        config.set_accepted_floor(
+            std::max(config.accepted_floor(), list.begin()->number()));
+        list.erase(list.begin());
+    }
+}
+
+std::string join(const std::vector<config::setting_error>& errors)
+{
+    // Enough for an operator to start with; a verdict stays small.
+    constexpr std::size_t max_errors = 20;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(errors.size(), max_errors); ++i)
+        text += (i == 0 ? "" : "\n") + to_string(errors[i]);
+    if (errors.size() > max_errors)
+        text += "\nand " + std::to_string(errors.size() - max_errors) + " more";
+    return text;
+}
+
+const proto::AcceptedTicket* find_accepted(const proto::FleetConfig& config,
+                                           std::uint64_t number)
+{
+    const auto found = std::ranges::find(config.accepted(), number,
+                                         [](const proto::AcceptedTicket& it)
+                                         { return it.number(); });
+    return found == config.accepted().end() ? nullptr : &*found;
+}
+
+} // namespace
+
+std::string_view to_string(ticket_verdict_kind kind)
+{
+    switch (kind)
+    {
+    case ticket_verdict_kind::accepted:
+        return "accepted";
+    case ticket_verdict_kind::same_ticket:
+        return "same_ticket";
+    case ticket_verdict_kind::stale:
+        return "stale";
+    case ticket_verdict_kind::conflict:
+        return "conflict";
+    case ticket_verdict_kind::invalid:
+        break;
+    }
+    return "invalid";
+}
+
+config_state::config_state(config_limits limits)
+    : limits_(limits), current_(std::make_shared<proto::FleetConfig>())
+{
+}
+
+config_state::~config_state() = default;
+
+bool config_state::load(const proto::FleetConfig& config,
+                        std::uint64_t read_through)
+{
+    std::vector<ticket_verdict> verdicts;
+    return adopt(config, read_through, verdicts);
+}
+
+std::vector<ticket_verdict>
+config_state::apply(std::uint64_t offset, const proto::ConfigRecord& record)
+{
+    std::vector<ticket_verdict> verdicts;
+    if (offset <= read_through_)
+        return verdicts;
+    if (offset != read_through_ + 1)
+    {
+        complete_ = false;
+        waiting_.clear();
+        waiting_bytes_ = 0;
+        waiting_from_ = offset;
+    }
+    read_through_ = offset;
+
+    if (record.has_snapshot())
+        adopt(record.snapshot().config(), record.snapshot().through_offset(),
+              verdicts);
+    else if (record.has_ticket() && complete_)
+        verdicts.push_back(apply_ticket(offset, record.ticket()));
+    else if (record.has_ticket())
+        hold_back(offset, record.ticket());
+    return verdicts;
+}
+
+ticket_verdict config_state::preview(const proto::Ticket& ticket) const
+{
+    config::ticket parsed;
+    return judge(read_through_ + 1, ticket, parsed);
+}
+
+bool config_state::complete() const
+{
+    return complete_;
+}
+
+config_state::snapshot config_state::current() const
+{
+    return current_;
+}
+
+std::uint64_t config_state::read_through() const
+{
+    return read_through_;
+}
+
+std::optional<ticket_verdict>
+config_state::find_verdict(std::uint64_t number) const
+{
+    if (const auto* accepted = find_accepted(*current_, number))
+        return ticket_verdict{ticket_verdict_kind::accepted, number,
+                              accepted->offset()};
+    const auto found = std::find_if(verdicts_.rbegin(), verdicts_.rend(),
+                                    [number](const ticket_verdict& it)
+                                    { return it.number == number; });
+    if (found == verdicts_.rend())
+        return std::nullopt;
+    return *found;
+}
+
+proto::ConfigSnapshot config_state::make_snapshot() const
+{
+    BOOST_ASSERT(complete_);
+    proto::ConfigSnapshot out;
+    out.set_through_offset(read_through_);
+    *out.mutable_config() = *current_;
+    return out;
+}
+
+std::size_t config_state::memory_bytes() const
+{
+    const auto objects = current_->targets_size() + current_->models_size() +
+                         current_->services_size() + current_->teams_size() +
+                         current_->removed_size() + current_->accepted_size();
+    return sizeof(*this) + waiting_bytes_ +
+           verdicts_.size() * sizeof(ticket_verdict) +
+           current_->ByteSizeLong() +
+           static_cast<std::size_t>(objects) * message_bytes;
+}
+
+ticket_verdict config_state::judge(std::uint64_t offset,
+                                   const proto::Ticket& record,
+                                   config::ticket& parsed) const
+{
+    ticket_verdict verdict;
+    verdict.number = record.number();
+    verdict.offset = offset;
+    const auto errors =
+        config::parse_ticket("ticket", record.document(), parsed);
+    if (!errors.empty())
+        verdict.message = join(errors);
+    else if (parsed.number != record.number())
+        verdict.message = "the document has the number " +
+                          std::to_string(parsed.number) + ", the record " +
+                          std::to_string(record.number());
+    else if (judge_number(parsed, verdict) && judge_objects(parsed, verdict) &&
+             judge_references(parsed, verdict) && judge_sizes(parsed, verdict))
+        verdict.kind = ticket_verdict_kind::accepted;
+    return verdict;
+}
+
+bool config_state::judge_number(const config::ticket& parsed,
+                                ticket_verdict& verdict) const
+{
+    if (const auto* known = find_accepted(*current_, parsed.number))
+    {
+        const bool same = known->content_hash() == content_hash(parsed);
+        verdict.kind = same ? ticket_verdict_kind::same_ticket
+                            : ticket_verdict_kind::conflict;
+        verdict.message = same ? "accepted before at offset "
+                               : "the number was used with other content at "
+                                 "offset ";
+        verdict.message += std::to_string(known->offset());
+        return false;
+    }
+    if (parsed.number > current_->accepted_floor())
+        return true;
+    verdict.kind = ticket_verdict_kind::stale;
+    verdict.lost_to = current_->accepted_floor();
+    verdict.message = "numbers up to " + std::to_string(verdict.lost_to) +
+                      " are no longer accepted";
+    return false;
+}
+
+bool config_state::judge_objects(const config::ticket& parsed,
+                                 ticket_verdict& verdict) const
+{
+    for (const auto& object : touched_objects(parsed))
+    {
+        const auto last = last_number(object);
+        if (parsed.number > last)
+            continue;
+        verdict.kind = ticket_verdict_kind::stale;
+        verdict.object = object;
+        verdict.lost_to = last;
+        verdict.message =
+            object + " has the state of ticket " + std::to_string(last);
+        return false;
+    }
+    return true;
+}
+
+bool config_state::judge_references(const config::ticket& parsed,
+                                    ticket_verdict& verdict) const
+{
+    for (const auto& target : parsed.targets)
+    {
+        for (const auto& name : target.models())
+        {
+            if (knows_name(*current_, parsed, name))
+                continue;
+            verdict.message = "targets/" + target.name() +
+                              ".models: no model or service '" + name + "'";
+            return false;
+        }
+    }
+    return true;
+}
+
+bool config_state::judge_sizes(const config::ticket& parsed,
+                               ticket_verdict& verdict) const
+{
+    const auto fits = [&verdict](std::string_view kind, const auto& list,
+                                 const auto& changes, std::size_t limit)
+    {
+        const auto count =
+            static_cast<std::size_t>(list.size()) + count_new(list, changes);
+        if (count <= limit)
+            return true;
+        verdict.message = std::string(kind) + ": expected at most " +
+                          std::to_string(limit) + " in all, found " +
+                          std::to_string(count);
+        return false;
+    };
+    return fits("targets", current_->targets(), parsed.targets,
+                limits_.max_targets) &&
+           fits("models", current_->models(), parsed.models,
+                limits_.max_models) &&
+           fits("services", current_->services(), parsed.services,
+                limits_.max_services) &&
+           fits("teams", current_->teams(), parsed.teams, limits_.max_teams);
+}
+
+std::uint64_t config_state::last_number(std::string_view object) const
+{
+    if (const auto number = existing_number(*current_, object))
+        return number;
+    if (const auto* removed = find(current_->removed(), object))
+        return removed->ticket();
+    return current_->removed_floor();
+}
+
+ticket_verdict config_state::apply_ticket(std::uint64_t offset,
+                                          const proto::Ticket& record)
+{
+    config::ticket parsed;
+    auto verdict = judge(offset, record, parsed);
+    if (verdict.kind == ticket_verdict_kind::accepted)
+        apply_accepted(offset, parsed);
+    verdicts_.push_back(verdict);
+    if (verdicts_.size() > limits_.max_verdicts)
+        verdicts_.pop_front();
+    return verdict;
+}
+
+void config_state::apply_accepted(std::uint64_t offset,
+                                  const config::ticket& parsed)
+{
+    auto next = std::make_shared<proto::FleetConfig>(*current_);
+    next->set_version(offset);
+    merge(*next->mutable_targets(), parsed.targets);
+    merge(*next->mutable_models(), parsed.models);
+    merge(*next->mutable_services(), parsed.services);
+    merge(*next->mutable_teams(), parsed.teams);
+
+    std::vector<proto::RemovedSpec> removed;
+    for (const auto& object : parsed.removed)
+    {
+        erase_object(*next, object);
+        proto::RemovedSpec spec;
+        spec.set_object(object);
+        spec.set_ticket(parsed.number);
+        removed.push_back(std::move(spec));
+    }
+    // Objects that exist again carry their number themselves.
+    if (next->removed_size() > 0)
+    {
+        for (const auto& object : touched_objects(parsed))
+            erase(*next->mutable_removed(), object);
+    }
+    merge(*next->mutable_removed(), removed);
+    trim_removed(*next, limits_.max_removed);
+
+    auto* accepted = next->add_accepted();
+    accepted->set_number(parsed.number);
+    accepted->set_content_hash(content_hash(parsed));
+    accepted->set_offset(offset);
+    trim_accepted(*next, limits_.max_accepted);
+    current_ = std::move(next);
+}
+
+bool config_state::adopt(const proto::FleetConfig& config,
+                         std::uint64_t through,
+                         std::vector<ticket_verdict>& verdicts)
+{
+    const bool ahead =
+        complete_ ? through > read_through_ : through + 1 >= waiting_from_;
+    if (!ahead || config.version() < current_->version())
+        return false;
+
+    current_ = std::make_shared<proto::FleetConfig>(config);
+    complete_ = true;
+    read_through_ = std::max(read_through_, through);
+    for (const auto& it : waiting_)
+    {
+        if (it.offset > through)
+            verdicts.push_back(apply_ticket(it.offset, it.record));
+    }
+    waiting_.clear();
+    waiting_bytes_ = 0;
+    return true;
+}
+
+void config_state::hold_back(std::uint64_t offset, const proto::Ticket& record)
+{
+    waiting_.push_back({offset, record});
+    waiting_bytes_ += record.ByteSizeLong() + sizeof(waiting_ticket);
+    // A later snapshot has to cover what is dropped here.
+    while (waiting_bytes_ > limits_.max_waiting_bytes)
+    {
+        const auto& oldest = waiting_.front();
+        waiting_bytes_ -= oldest.record.ByteSizeLong() + sizeof(waiting_ticket);
+        waiting_from_ = oldest.offset + 1;
+        waiting_.pop_front();
+    }
+}
+
+} // namespace tanagertrack::state
--- a/src/state/config_state.hpp
+++ b/src/state/config_state.hpp
@@ -113,8 +113,8 @@
     config_state(const config_state&) = delete;
     config_state& operator=(const config_state&) = delete;
 
-    /// Takes a configuration from a peer, read through that offset; ignored
-    /// (false) if it is not ahead of the state.
+    /// Takes a configuration from a peer, complete through the offset
+    /// `read_through`; ignored (false) if it is not ahead of the state.
     bool load(const proto::FleetConfig& config, std::uint64_t read_through);
 
     /// Applies the record at `offset`. Offsets up to `read_through()` are
@@ -137,8 +137,8 @@
     /// Offset through which records were applied or are held back.
     std::uint64_t read_through() const;
 
-    /// Latest verdict on a ticket of this number other than `same_ticket`;
-    /// nothing when it is not known (any more).
+    /// Verdict on the tickets of this number: accepted if one was, or else the
+    /// latest; nothing when it is not known (any more).
     std::optional<ticket_verdict> find_verdict(std::uint64_t number) const;
 
     /// Snapshot record of the current configuration, for the log. The state
@@ -155,7 +155,7 @@
         proto::Ticket record;
     };
 
-    ticket_verdict judge(const proto::Ticket& record,
+    ticket_verdict judge(std::uint64_t offset, const proto::Ticket& record,
                          config::ticket& parsed) const;
     bool judge_number(const config::ticket& parsed,
                       ticket_verdict& verdict) const;
@@ -163,14 +163,15 @@
                        ticket_verdict& verdict) const;
     bool judge_references(const config::ticket& parsed,
                           ticket_verdict& verdict) const;
+    bool judge_sizes(const config::ticket& parsed,
+                     ticket_verdict& verdict) const;
+    std::uint64_t last_number(std::string_view object) const;
     ticket_verdict apply_ticket(std::uint64_t offset,
                                 const proto::Ticket& record);
     void apply_accepted(std::uint64_t offset, const config::ticket& parsed);
-    std::vector<ticket_verdict>
-    apply_snapshot(const proto::ConfigSnapshot& snapshot);
-    std::uint64_t last_number(std::string_view object) const;
+    bool adopt(const proto::FleetConfig& config, std::uint64_t through,
+               std::vector<ticket_verdict>& verdicts);
     void hold_back(std::uint64_t offset, const proto::Ticket& record);
-    void remember(const ticket_verdict& verdict);
 
     config_limits limits_;
     snapshot current_;
