--- a/src/state/checkpoint_writer.cpp
+++ b/src/state/checkpoint_writer.cpp
@@ -28,7 +28,7 @@
                                      std::size_t max_part_bytes)
     : holder_(std::move(holder)), max_part_bytes_(max_part_bytes)
 {
-    BOOST_ASSERT(max_part_bytes >= 4096);
+    BOOST_ASSERT(max_part_bytes >= 512);
     reserve(max_part_bytes_);
 }
 
--- a/src/state/checkpoint_writer.hpp
+++ b/src/state/checkpoint_writer.hpp
@@ -17,7 +17,7 @@
 {
 public:
     /// `holder` is the entry id in the current claim. A part has at most
-    /// about `max_part_bytes` (at least 4096).
+    /// about `max_part_bytes` (at least 512).
     checkpoint_writer(std::string holder, std::size_t max_part_bytes);
 
     /// Adds a job; a large one is spread over several parts.
--- a/src/state/partition_state.hpp
+++ b/src/state/partition_state.hpp
@@ -192,8 +192,9 @@
     std::uint64_t oldest_needed_offset(bool pending_bodies_only) const;
 
     /// The live state as parts of a checkpoint, each of at most about
-    /// `max_part_bytes` (at least 4096), to be appended as consecutive
-    /// records with nothing between them.
+    /// `max_part_bytes` (at least 512), to be appended as consecutive
+    /// records with nothing between them. Make it when every own append was
+    /// read back: a record that is read later would be missing in it.
     std::vector<proto::Checkpoint>
     make_checkpoint(std::size_t max_part_bytes) const;
 
