--- a/src/state/checkpoint_writer.cpp
+++ b/src/state/checkpoint_writer.cpp
@@ -29,7 +29,7 @@
     : holder_(std::move(holder)), max_part_bytes_(max_part_bytes)
 {
     BOOST_ASSERT(max_part_bytes >= 512);
-    reserve(max_part_bytes_);
+    reserve(0);
 }
 
 void checkpoint_writer::add_job(const job& value)
