--- a/src/entry/target_pool.hpp
+++ b/src/entry/target_pool.hpp
@@ -91,6 +91,10 @@
     /// Claims held by this entry, sent to all agents for fencing.
     void set_fences(std::vector<proto::Fence> fences);
 
+    /// Addresses of hosts that the platform's list shows as leaving; targets
+    /// on them get no new work.
+    void set_leaving_hosts(std::span<const std::string> addresses);
+
     /// Whether the configuration has the model or service.
     bool knows_model(std::string_view model) const;
 
@@ -104,6 +108,9 @@
     /// afterwards.
     void cancel(attempt_id id);
 
+    /// Stops and restarts the events of an attempt whose caller reads slowly.
+    void pause(attempt_id id, bool paused);
+
     /// Batch items that can be sent now to targets that serve the model.
     std::size_t batch_credit(std::string_view model) const;
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -46,6 +46,22 @@
 constexpr auto drain_time = std::chrono::seconds(2);
 constexpr std::size_t max_drained_bytes = 64UL * 1024 * 1024;
 
+/// Slowest rate, on average, at which a caller may send a body. Bounds the
+/// time for which single bytes can hold a connection.
+constexpr double min_bytes_per_second = 512;
+
+/// Time that a caller may still take for its next bytes of a body.
+std::chrono::steady_clock::duration
+slack_for(std::chrono::steady_clock::duration spent, std::uint64_t bytes)
+{
+    using std::chrono::duration_cast;
+    constexpr auto grace = std::chrono::seconds(30);
+    const std::chrono::duration<double> earned(static_cast<double>(bytes) /
+                                               min_bytes_per_second);
+    return grace + duration_cast<std::chrono::steady_clock::duration>(earned) -
+           spent;
+}
+
 bool has_no_body(unsigned status)
 {
     return status == 204 || status == 304 || status < 200;
@@ -267,13 +283,18 @@
     body.size = piece.size();
     body.more = true;
     error_code ec;
+    const auto started = std::chrono::steady_clock::now();
+    const auto slack = slack_for(state->reading_time, state->body_bytes);
     while (!parser_->is_done() && body.size == piece.size() && !ec)
     {
-        stream_.expires_after(settings_.read_timeout);
+        stream_.expires_at(
+            std::min(started + slack, std::chrono::steady_clock::now() +
+                                          settings_.read_timeout));
         co_await bhttp::async_read_some(
             stream_, buffer_, *parser_,
             asio::redirect_error(asio::use_awaitable, ec));
     }
+    state->reading_time += std::chrono::steady_clock::now() - started;
     piece.resize(piece.size() - body.size);
     state->body_bytes += piece.size();
     state->body_complete = parser_->is_done();
--- a/src/http/request_state.hpp
+++ b/src/http/request_state.hpp
@@ -3,6 +3,7 @@
 
 #include "http/http_exchange.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <limits>
@@ -38,6 +39,9 @@
     http_exchange::body_handler reader;
     std::uint64_t max_body_bytes = std::numeric_limits<std::uint64_t>::max();
     std::uint64_t body_bytes = 0;
+
+    /// Time spent waiting for bytes of the body.
+    std::chrono::steady_clock::duration reading_time{};
     bool body_complete = false;
 
     std::deque<answer_step> steps;
