--- a/src/entry/stream_appender.cpp
+++ b/src/entry/stream_appender.cpp
@@ -3,6 +3,7 @@
 #include "common/result_code.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/assert.hpp>
 
 #include <utility>
@@ -29,7 +30,7 @@
 stream_appender::stream_appender(boost::asio::io_context& context,
                                  platform::log_service& log,
                                  appender_settings settings)
-    : log_(log), settings_(std::move(settings)),
+    : context_(context), log_(log), settings_(std::move(settings)),
       backoff_(settings_.retry, settings_.seed), timer_(context)
 {
     BOOST_ASSERT(settings_.max_record_bytes > record_overhead_bytes);
@@ -62,10 +63,30 @@
     const auto bytes = size + entry_overhead_bytes;
     queue_.push_back({std::move(entry), bytes, std::move(handler)});
     bytes_ += bytes;
-    send();
+    send_soon();
     return true;
 }
 
+void stream_appender::insert_when_idle(
+    std::function<std::vector<proto::PartitionEntry>()> make)
+{
+    if (insertion_)
+        return;
+    insertion_ = std::move(make);
+    send_soon();
+}
+
+void stream_appender::insert_entries()
+{
+    auto entries = std::exchange(insertion_, {})();
+    for (auto it = entries.rbegin(); it != entries.rend(); ++it)
+    {
+        const auto bytes = it->ByteSizeLong() + entry_overhead_bytes;
+        queue_.push_front({std::move(*it), bytes, {}});
+        bytes_ += bytes;
+    }
+}
+
 void stream_appender::wait_for_room(std::function<void()> handler)
 {
     room_handlers_.push_back(std::move(handler));
@@ -106,6 +127,21 @@
     records_.push_back(std::move(record));
 }
 
+void stream_appender::send_soon()
+{
+    // Entries that are pushed one after the other go into one record.
+    if (busy_ || std::exchange(send_scheduled_, true))
+        return;
+    boost::asio::post(context_,
+                      [this, alive = std::weak_ptr(alive_)]
+                      {
+                          if (alive.expired())
+                              return;
+                          send_scheduled_ = false;
+                          send();
+                      });
+}
+
 void stream_appender::send()
 {
     if (busy_)
@@ -115,6 +151,10 @@
     // the log has acknowledged it.
     if (records_.empty() || records_.back().appended)
     {
+        if (insertion_ && !records_.empty())
+            return;
+        if (insertion_)
+            insert_entries();
         if (queue_.empty())
             return;
         make_record();
--- a/src/entry/stream_appender.hpp
+++ b/src/entry/stream_appender.hpp
@@ -75,6 +75,13 @@
     [[nodiscard]] bool push_bounded(proto::PartitionEntry&& entry,
                                     recorded_handler handler);
 
+    /// Appends the entries that `make` gives when all earlier records are read
+    /// back; entries that are queued now or later follow them. For entries
+    /// that describe the state as of their own place in the stream. Ignored
+    /// while an earlier call waits.
+    void
+    insert_when_idle(std::function<std::vector<proto::PartitionEntry>()> make);
+
     /// Calls `handler` once when `push` accepts entries again.
     void wait_for_room(std::function<void()> handler);
 
@@ -136,10 +143,13 @@
     bool fits(const proto::PartitionRecord& record, std::size_t bytes,
               const queued_entry& next) const;
     void make_record();
+    void send_soon();
     void send();
+    void insert_entries();
     void finish_append(std::uint64_t sequence, std::error_code ec);
     void call_room_handlers();
 
+    boost::asio::io_context& context_;
     platform::log_service& log_;
     appender_settings settings_;
     common::backoff backoff_;
@@ -147,10 +157,12 @@
     std::deque<queued_entry> queue_;
     std::deque<open_record> records_;
     std::vector<std::function<void()>> room_handlers_;
+    std::function<std::vector<proto::PartitionEntry>()> insertion_;
     std::size_t bytes_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t appends_ = 0;
     bool busy_ = false;
+    bool send_scheduled_ = false;
     bool failing_ = false;
 
     /// Expires with the appender; guards the answers that are on their way.
