--- a/src/agent/admission.hpp
+++ b/src/agent/admission.hpp
@@ -165,6 +165,11 @@
         return limit_;
     }
 
+    const batch_limit& limit() const
+    {
+        return limit_;
+    }
+
 private:
     struct running_work
     {
--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -1,3 +1,4 @@
+#include "agent/agent_process.hpp"
 #include "common/logging.hpp"
 #include "config/settings.hpp"
 
@@ -67,6 +68,8 @@
         std::cout << file.getValue() << ": accepted\n";
         return exit_ok;
     }
+    if (settings.role == "agent")
+        return agent::agent_process(std::move(settings)).run();
     return exit_ok;
 }
 
--- a/src/transport/message_stream.hpp
+++ b/src/transport/message_stream.hpp
@@ -5,6 +5,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string_view>
 #include <system_error>
@@ -58,6 +59,13 @@
     /// IP number of the peer.
     virtual std::string_view peer_address() const = 0;
 
+    /// Number of the connection, unique in the process; streams of one peer
+    /// process share it.
+    virtual std::uint64_t connection_id() const
+    {
+        return 0;
+    }
+
     /// Queues one message. Returns false when the send buffer is over its
     /// limit; the message is queued all the same, and the owner waits for
     /// `on_writable` before it sends more. Ignored on a closed stream.
--- a/src/transport/session.cpp
+++ b/src/transport/session.cpp
@@ -9,6 +9,7 @@
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace tanagertrack::transport
@@ -64,6 +65,12 @@
     return result_code::cancelled;
 }
 
+std::uint64_t next_connection_id()
+{
+    static std::atomic<std::uint64_t> last{0};
+    return ++last;
+}
+
 std::string_view as_text(const std::uint8_t* data, std::size_t size)
 {
     return {reinterpret_cast<const char*>(data), size};
@@ -168,7 +175,8 @@
 
 session::session(socket connected, session_side side,
                  const transport_settings& settings, session_hooks hooks)
-    : socket_(std::move(connected)), side_(side), settings_(settings),
+    : id_(next_connection_id()), socket_(std::move(connected)), side_(side),
+      settings_(settings),
       hooks_(std::make_shared<session_hooks>(std::move(hooks))),
       idle_timer_(socket_.get_executor()), last_received_(common::clock::now())
 {
--- a/src/transport/session.hpp
+++ b/src/transport/session.hpp
@@ -88,6 +88,12 @@
         return settings_;
     }
 
+    /// Number of the connection, unique in the process.
+    std::uint64_t id() const
+    {
+        return id_;
+    }
+
     std::string_view peer_address() const
     {
         return peer_address_;
@@ -144,6 +150,7 @@
     void returned_connection_window(std::size_t n);
 
     // For the life of the connection.
+    const std::uint64_t id_;
     socket socket_;
     const session_side side_;
     const transport_settings settings_;
--- a/src/transport/session_stream.cpp
+++ b/src/transport/session_stream.cpp
@@ -50,7 +50,8 @@
 
 session_stream::session_stream(session& owner, std::int32_t id,
                                std::string path)
-    : owner_(&owner), id_(id), path_(std::move(path))
+    : owner_(&owner), connection_id_(owner.id()), id_(id),
+      path_(std::move(path))
 {
 }
 
@@ -71,6 +72,11 @@
     return owner_ != nullptr ? owner_->peer_address() : std::string_view();
 }
 
+std::uint64_t session_stream::connection_id() const
+{
+    return connection_id_;
+}
+
 bool session_stream::send(std::string_view message)
 {
     if (!is_open())
--- a/src/transport/session_stream.hpp
+++ b/src/transport/session_stream.hpp
@@ -23,6 +23,7 @@
     void set_hooks(stream_hooks hooks) override;
     std::string_view path() const override;
     std::string_view peer_address() const override;
+    std::uint64_t connection_id() const override;
     bool send(std::string_view message) override;
     std::size_t queued_bytes() const override;
     void pause_reading(bool paused) override;
@@ -82,6 +83,7 @@
 
     // Link to the session and what the owner set.
     session* owner_;
+    const std::uint64_t connection_id_;
     const std::int32_t id_;
     const std::string path_;
     std::shared_ptr<stream_hooks> hooks_;
