Test the example tickets

Cause: the ticket parser is there; the examples were checked by hand only.

Change: a test parses both example tickets and counts their objects.

--- a/test/config/test_examples.cpp
+++ b/test/config/test_examples.cpp
@@ -1,4 +1,5 @@
 #include "config/settings.hpp"
+#include "config/ticket.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,6 +11,24 @@
 
 BOOST_AUTO_TEST_SUITE(examples)
 
+// Guards against example tickets that are rejected.
+BOOST_AUTO_TEST_CASE(example_tickets_are_valid)
+{
+    for (const std::string name : {"retorno", "fondazione"})
+    {
+        std::ostringstream text;
+        text << std::ifstream(TANAGERTRACK_SOURCE_DIR "/config/" + name +
+                              "/ticket-1.yaml")
+                    .rdbuf();
+        ticket out;
+        for (const auto& error : parse_ticket(name, text.str(), out))
+            BOOST_TEST_ERROR(to_string(error));
+        BOOST_TEST(out.targets.size() == (name == "retorno" ? 24 : 14));
+        BOOST_TEST(out.services.size() == 1);
+        BOOST_TEST(out.teams.size() == 2);
+    }
+}
+
 // Guards against example settings that the daemon no longer accepts.
 BOOST_AUTO_TEST_CASE(example_settings_are_accepted)
 {
