--- a/src/entry/request_observer.cpp
+++ b/src/entry/request_observer.cpp
@@ -2,6 +2,8 @@
 
 #include "common/metrics.hpp"
 
+#include <utility>
+
 namespace tanagertrack::entry
 {
 
@@ -16,13 +18,13 @@
 } // namespace
 
 request_observer::request_observer(common::metrics_registry& metrics,
-                                   std::atomic<std::size_t>& in_progress,
+                                   in_progress_count in_progress,
                                    std::string_view request_class,
                                    std::string_view team)
-    : metrics_(metrics), in_progress_(in_progress), class_(request_class),
+    : metrics_(metrics), in_progress_(std::move(in_progress)), class_(request_class),
       team_(team), started_(common::clock::now())
 {
-    in_progress_.fetch_add(1);
+    in_progress_->fetch_add(1);
 }
 
 request_observer::~request_observer()
@@ -32,7 +34,7 @@
                        "time from a request's header to its end",
                        {{"class", class_}, {"team", team_}})
         .record(seconds_since(started_));
-    in_progress_.fetch_sub(1);
+    in_progress_->fetch_sub(1);
 }
 
 void request_observer::first_answer(unsigned status)
--- a/src/entry/request_observer.hpp
+++ b/src/entry/request_observer.hpp
@@ -5,6 +5,8 @@
 #include "common/result_code.hpp"
 
 #include <atomic>
+#include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -16,14 +18,18 @@
 namespace tanagertrack::entry
 {
 
+/// Requests in progress. Shared, because the last of them can outlive the
+/// parts of a process that is stopping.
+using in_progress_count = std::shared_ptr<std::atomic<std::size_t>>;
+
 /// Counts and times one caller's request, and holds its place among the
 /// requests in progress. Any thread.
 class request_observer
 {
 public:
-    /// `in_progress` counts the observers and outlives them.
+    /// `in_progress` counts the observers.
     request_observer(common::metrics_registry& metrics,
-                     std::atomic<std::size_t>& in_progress,
+                     in_progress_count in_progress,
                      std::string_view request_class, std::string_view team);
     ~request_observer();
 
@@ -35,7 +41,7 @@
 
 private:
     common::metrics_registry& metrics_;
-    std::atomic<std::size_t>& in_progress_;
+    in_progress_count in_progress_;
     std::string class_;
     std::string team_;
     common::time_point started_;
--- a/src/entry/target_pool.cpp
+++ b/src/entry/target_pool.cpp
@@ -569,6 +569,11 @@
     impl_->credit_hook = std::move(hook);
 }
 
+const std::vector<proto::Fence>& target_pool::fences() const
+{
+    return impl_->fences;
+}
+
 std::vector<proto::AgentStatus> target_pool::statuses() const
 {
     std::vector<proto::AgentStatus> all;
--- a/src/entry/target_pool.hpp
+++ b/src/entry/target_pool.hpp
@@ -117,6 +117,9 @@
     /// Sets a hook that is called when batch credit became available.
     void on_batch_credit(std::function<void()> hook);
 
+    /// Claims set last.
+    const std::vector<proto::Fence>& fences() const;
+
     /// State of all known targets, for operators.
     std::vector<proto::AgentStatus> statuses() const;
 
--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -1,5 +1,6 @@
 #include "common/logging.hpp"
 #include "config/settings.hpp"
+#include "entry/entry_process.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -67,6 +68,8 @@
         std::cout << file.getValue() << ": accepted\n";
         return exit_ok;
     }
+    if (settings.role == "entry")
+        return entry::entry_process(settings).run();
     return exit_ok;
 }
 
