--- a/src/entry/config_follower.cpp
+++ b/src/entry/config_follower.cpp
@@ -46,17 +46,17 @@
           version_gauge(env.metrics.get_gauge(
               "tanagertrack_config_version",
               "offset of the last accepted ticket in effect")),
-          read_errors(env.metrics.get_counter(
-              "tanagertrack_config_read_errors_total",
-              "reads of the config stream that failed"))
+          read_errors(
+              env.metrics.get_counter("tanagertrack_config_read_errors_total",
+                                      "reads of the config stream that failed"))
     {
     }
 
     follower_hooks make_hooks()
     {
         follower_hooks hooks;
-        hooks.on_records = [this](std::vector<platform::log_record> records,
-                                  std::uint64_t)
+        hooks.on_records =
+            [this](std::vector<platform::log_record> records, std::uint64_t)
         {
             for (const auto& it : records)
                 apply(it);
@@ -71,8 +71,7 @@
         hooks.on_error = [this](std::error_code ec)
         {
             read_errors.add();
-            common::log_warning("config_read_failed",
-                                {{"what", ec.message()}});
+            common::log_warning("config_read_failed", {{"what", ec.message()}});
             ask_peers();
         };
         return hooks;
@@ -215,7 +214,9 @@
     ticket.set_document(std::move(document));
     ticket.set_operator_name(std::move(operator_name));
     auto work = [it = impl_.get(), ticket = std::move(ticket), handler]
-    { it->submit(ticket, handler); };
+    {
+        it->submit(ticket, handler);
+    };
     if (!impl_->env.log_thread.post(std::move(work)))
         handler({result_code::overloaded, {}});
 }
--- a/src/entry/config_puller.cpp
+++ b/src/entry/config_puller.cpp
@@ -29,11 +29,17 @@
 {
     if (entries_.empty() || connection_)
         return;
-    connection_ = std::make_unique<transport::client_connection>(context_,
-                                                                 options_);
+    connection_ =
+        std::make_unique<transport::client_connection>(context_, options_);
     transport::connection_hooks hooks;
-    hooks.on_up = [this] { connected(); };
-    hooks.on_down = [this](std::error_code) { end_later(); };
+    hooks.on_up = [this]
+    {
+        connected();
+    };
+    hooks.on_down = [this](std::error_code)
+    {
+        end_later();
+    };
     connection_->start(entries_[next_++ % entries_.size()], std::move(hooks));
     timer_.expires_after(answer_time);
     timer_.async_wait(
@@ -47,8 +53,14 @@
 void config_puller::connected()
 {
     transport::stream_hooks hooks;
-    hooks.on_message = [this](std::string_view data) { message(data); };
-    hooks.on_closed = [this](std::error_code) { end_later(); };
+    hooks.on_message = [this](std::string_view data)
+    {
+        message(data);
+    };
+    hooks.on_closed = [this](std::error_code)
+    {
+        end_later();
+    };
     const auto stream = connection_->open("/config", std::move(hooks));
     if (!stream)
         return;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -85,11 +85,14 @@
                  [this](proto::ConfigPush push)
                  { follower.load(std::move(push)); }),
           follower({values, metrics, config, log_thread, log,
-                    [this] { ask_peers(); }}),
+                    [this]
+                    {
+                        ask_peers();
+                    }}),
           front({values, metrics, config, router, peer_thread, batch_thread,
                  make_batch_calls()}),
-          operators({values, metrics, config, follower, front, peer_thread,
-                     pool}),
+          operators(
+              {values, metrics, config, follower, front, peer_thread, pool}),
           front_server(front_thread.context(), front_http(values),
                        [this](const http::http_exchange_ptr& it)
                        { front.handle(it); }),
@@ -117,12 +120,16 @@
     batch_calls make_batch_calls()
     {
         const auto unavailable = [](const exchange_ptr& request)
-        { refuse(*request, http::rejection(result_code::no_partition_holder)); };
+        {
+            refuse(*request, http::rejection(result_code::no_partition_holder));
+        };
         batch_calls calls;
         calls.handle_batches = unavailable;
         calls.handle_call_once =
             [unavailable](const exchange_ptr& request, const std::string&)
-        { unavailable(request); };
+        {
+            unavailable(request);
+        };
         return calls;
     }
 
@@ -193,8 +200,8 @@
         return ec;
     it.running = true;
     it.follower.start();
-    for (auto* thread : {&it.log_thread, &it.peer_thread, &it.batch_thread,
-                         &it.front_thread})
+    for (auto* thread :
+         {&it.log_thread, &it.peer_thread, &it.batch_thread, &it.front_thread})
         thread->start();
     common::log_info("entry_started", {{"name", at.name}});
     return {};
@@ -205,8 +212,7 @@
     auto& it = *impl_;
     if (!std::exchange(it.running, false))
         return;
-    common::log_info("entry_stopping",
-                     {{"requests", it.front.in_progress()}});
+    common::log_info("entry_stopping", {{"requests", it.front.in_progress()}});
     const auto deadline = common::clock::now() + it.settings.stop.grace;
     it.front.stop();
     while (it.front.in_progress() > 0 && common::clock::now() < deadline)
@@ -224,12 +230,11 @@
         if (open)
             std::this_thread::sleep_for(stop_poll_interval);
     }
-    for (auto* thread : {&it.front_thread, &it.batch_thread, &it.peer_thread,
-                         &it.log_thread})
+    for (auto* thread :
+         {&it.front_thread, &it.batch_thread, &it.peer_thread, &it.log_thread})
         thread->stop();
     it.router.close();
-    common::log_info("entry_stopped",
-                     {{"requests", it.front.in_progress()}});
+    common::log_info("entry_stopped", {{"requests", it.front.in_progress()}});
 }
 
 int entry_process::run()
--- a/src/entry/front_service.cpp
+++ b/src/entry/front_service.cpp
@@ -117,8 +117,8 @@
         return true;
     }
     if (path == "/readyz" && !is_ready())
-        refuse(http, http::rejection(stopping_
-                                         ? result_code::shutting_down
+        refuse(http,
+               http::rejection(stopping_ ? result_code::shutting_down
                                          : result_code::no_configuration));
     else if (path == "/metrics")
         http->respond({200, "text/plain; version=0.0.4", 0, false},
@@ -138,8 +138,7 @@
     return true;
 }
 
-const proto::TeamSpec*
-front_service::admit(const http::http_exchange_ptr& http)
+const proto::TeamSpec* front_service::admit(const http::http_exchange_ptr& http)
 {
     const auto* team = index_->find_team(http->head().authorization);
     if (team == nullptr)
@@ -153,8 +152,7 @@
                                    ? team->requests_per_second()
                                    : defaults.default_requests_per_second;
     rate.burst = team->burst() > 0 ? team->burst() : defaults.default_burst;
-    const auto wait =
-        limits_.take(team->name(), rate, common::clock::now());
+    const auto wait = limits_.take(team->name(), rate, common::clock::now());
     if (wait <= common::duration())
         return team;
     http::rejection why(result_code::rate_limited);
@@ -182,12 +180,11 @@
                                           common::duty_thread& thread)
 {
     // Handlers are bounded by the requests in progress.
-    request->http->run_handlers_with([&thread](std::function<void()> handler)
-                                     { thread.post_completion(
-                                           std::move(handler)); });
-    return exchange_ptr(new caller_exchange(request->http,
-                                            std::move(request->team),
-                                            std::move(request->observer)));
+    request->http->run_handlers_with(
+        [&thread](std::function<void()> handler)
+        { thread.post_completion(std::move(handler)); });
+    return exchange_ptr(new caller_exchange(
+        request->http, std::move(request->team), std::move(request->observer)));
 }
 
 void front_service::list_models(const request_ptr& request)
@@ -231,9 +228,8 @@
     call.model = std::move(parsed.model);
     call.resumable = parsed.resumable;
     call.work.set_method("POST");
-    call.work.set_path(endpoint == model_endpoint::chat
-                           ? "/v1/chat/completions"
-                           : "/v1/completions");
+    call.work.set_path(endpoint == model_endpoint::chat ? "/v1/chat/completions"
+                                                        : "/v1/completions");
     call.work.set_content_type("application/json");
     call.work.set_stream(parsed.stream);
     call.work.set_body(std::move(body));
@@ -272,19 +268,18 @@
     {
         http->limit_body(env_.settings.front.max_body_bytes);
         return env_.batch.handle_call_once(
-            make_exchange(request, env_.batch_thread),
-            std::move(target->name));
+            make_exchange(request, env_.batch_thread), std::move(target->name));
     }
-    http::read_whole_body(
-        http, env_.settings.front.max_body_bytes,
-        [this, request, target = std::move(*target)](std::error_code ec,
-                                                     std::string body)
-        {
-            if (ec)
-                refuse_input(request->http, ec, {});
-            else
-                route_service(request, target, std::move(body));
-        });
+    http::read_whole_body(http, env_.settings.front.max_body_bytes,
+                          [this, request, target = std::move(*target)](
+                              std::error_code ec, std::string body)
+                          {
+                              if (ec)
+                                  refuse_input(request->http, ec, {});
+                              else
+                                  route_service(request, target,
+                                                std::move(body));
+                          });
 }
 
 void front_service::route_service(const request_ptr& request,
--- a/src/entry/online_request.cpp
+++ b/src/entry/online_request.cpp
@@ -85,7 +85,7 @@
     const auto started =
         shared_.pool.start(call_.work, {call_.model, tried_}, make_hooks());
     if (started.id == 0)
-        return fail(http::rejection(result_code::no_target));
+        return fail(cause_);
     attempt_ = started.id;
     tried_.push_back(started.target);
     ++attempts_;
@@ -126,12 +126,10 @@
 void online_request::take_refused(const proto::WorkRefused& refused)
 {
     attempt_ = 0;
-    if (may_try_again())
-        return try_again(to_code(refused.code()));
     http::rejection why(to_code(refused.code()));
     why.retry_after_s = (refused.retry_after_ms() + 999) / 1000;
     why.ran = execution::not_run;
-    fail(std::move(why));
+    try_again(std::move(why));
 }
 
 void online_request::take_failed(const proto::WorkFailed& failed)
@@ -146,15 +144,12 @@
         unsent_ += done_event;
         return send();
     }
-    if (!failed.permanent() && may_try_again())
-        return try_again(to_code(failed.code()));
-    if (failed.permanent() && !started_ && failed.http_status() != 0 &&
-        !failed.body().empty())
+    http::rejection why(to_code(failed.code()));
+    if (!failed.permanent())
+        return try_again(std::move(why));
+    if (!started_ && failed.http_status() != 0 && !failed.body().empty())
         return pass_through(failed.http_status(), "application/json",
                             failed.body());
-    http::rejection why(to_code(failed.code()));
-    if (failed.permanent() && !failed.may_have_run())
-        why.ran = common::info(why.code).ran;
     fail(std::move(why));
 }
 
@@ -167,13 +162,16 @@
     return possible && shared_.budget.take();
 }
 
-void online_request::try_again(result_code cause)
+void online_request::try_again(http::rejection cause)
 {
+    cause_ = std::move(cause);
+    if (!may_try_again())
+        return fail(cause_);
     (started_ ? shared_.resumes : shared_.retries).add();
     common::log_info("request_retried",
                      {{"request_id", call_.request->head().request_id},
                       {"target", tried_.back()},
-                      {"cause", common::info(cause).name}});
+                      {"cause", common::info(cause_.code).name}});
     start_attempt();
 }
 
--- a/src/entry/online_request.hpp
+++ b/src/entry/online_request.hpp
@@ -71,7 +71,7 @@
     void take_failed(const proto::WorkFailed& failed);
     void take_refused(const proto::WorkRefused& refused);
     bool may_try_again();
-    void try_again(common::result_code cause);
+    void try_again(http::rejection cause);
     void fail(http::rejection why);
     void pass_through(unsigned status, std::string content_type,
                       std::string body);
@@ -91,6 +91,9 @@
     std::uint32_t attempts_ = 0;
     bool resumed_ = false;
 
+    /// Why the last attempt failed.
+    http::rejection cause_{common::result_code::no_target};
+
     /// Some attempt may have run.
     bool may_have_run_ = false;
 
--- a/src/entry/operator_service.cpp
+++ b/src/entry/operator_service.cpp
@@ -109,9 +109,9 @@
     }
     const bool tickets = path == tickets_path;
     const bool get = head.method == "GET";
-    const bool one_ticket =
-        path.starts_with(tickets_path) && path.size() > tickets_path.size() &&
-        path[tickets_path.size()] == '/';
+    const bool one_ticket = path.starts_with(tickets_path) &&
+                            path.size() > tickets_path.size() &&
+                            path[tickets_path.size()] == '/';
     const bool known = tickets || one_ticket || path == "/operator/targets" ||
                        path == "/operator/status";
     if (!known)
@@ -130,10 +130,9 @@
 
 void operator_service::submit_ticket(const http::http_exchange_ptr& http)
 {
-    const auto max_bytes =
-        std::min(config::max_ticket_bytes,
-                 env_.settings.platform.max_record_bytes) -
-        record_overhead_bytes;
+    const auto max_bytes = std::min(config::max_ticket_bytes,
+                                    env_.settings.platform.max_record_bytes) -
+                           record_overhead_bytes;
     http::read_whole_body(
         http, max_bytes,
         [this, http](std::error_code ec, std::string body)
--- a/src/entry/request_observer.cpp
+++ b/src/entry/request_observer.cpp
@@ -21,8 +21,8 @@
                                    in_progress_count in_progress,
                                    std::string_view request_class,
                                    std::string_view team)
-    : metrics_(metrics), in_progress_(std::move(in_progress)), class_(request_class),
-      team_(team), started_(common::clock::now())
+    : metrics_(metrics), in_progress_(std::move(in_progress)),
+      class_(request_class), team_(team), started_(common::clock::now())
 {
     in_progress_->fetch_add(1);
 }
--- a/src/entry/target_link.cpp
+++ b/src/entry/target_link.cpp
@@ -81,6 +81,10 @@
     common::log_info("target_connected", {{"target", spec_.name()}});
     up_ = true;
     going_away_ = false;
+
+    // Until the first status the target counts as able to work: the agent
+    // refuses what it can't run.
+    status_.set_target_down(false);
     backoff_.reset();
     open_status();
     hooks_.on_change();
--- a/src/entry/target_link.hpp
+++ b/src/entry/target_link.hpp
@@ -93,7 +93,7 @@
         return spec_;
     }
 
-    /// Last status; `target_down` when there is none.
+    /// Last status; `target_down` while there is no connection.
     const proto::AgentStatus& status() const
     {
         return status_;
--- a/src/entry/ticket_submitter.cpp
+++ b/src/entry/ticket_submitter.cpp
@@ -29,8 +29,7 @@
 ticket_submitter::ticket_submitter(boost::asio::io_context& context,
                                    platform::log_service& log,
                                    std::string writer, std::uint64_t seed)
-    : log_(log), writer_(std::move(writer)), backoff_({}, seed),
-      timer_(context)
+    : log_(log), writer_(std::move(writer)), backoff_({}, seed), timer_(context)
 {
 }
 
@@ -80,17 +79,15 @@
     if (it.appended || it.offset != 0)
         return wait(read_back_interval);
     log_.append("config", it.data,
-                [this, sequence = it.sequence,
-                 alive = std::weak_ptr(alive_)](std::error_code ec,
-                                                std::uint64_t)
+                [this, sequence = it.sequence, alive = std::weak_ptr(alive_)](
+                    std::error_code ec, std::uint64_t)
                 {
                     if (!alive.expired())
                         finish_append(sequence, ec);
                 });
 }
 
-void ticket_submitter::finish_append(std::uint64_t sequence,
-                                     std::error_code ec)
+void ticket_submitter::finish_append(std::uint64_t sequence, std::error_code ec)
 {
     // The record may have been read back before the answer came; then the
     // next one is started by this answer, because one append is under way at
@@ -99,14 +96,13 @@
         return append();
     auto& it = records_.front();
     it.appended = it.appended || !ec;
-    it.sent = it.sent || !ec ||
-              ec != make_error_code(result_code::log_unavailable);
+    it.sent =
+        it.sent || !ec || ec != make_error_code(result_code::log_unavailable);
     if (!ec)
         backoff_.reset();
     else
         common::log_warning("ticket_append_failed", {{"what", ec.message()}});
-    wait(ec ? backoff_.next()
-            : std::chrono::milliseconds(read_back_interval));
+    wait(ec ? backoff_.next() : std::chrono::milliseconds(read_back_interval));
 }
 
 void ticket_submitter::wait(std::chrono::milliseconds delay)
