--- /dev/null
+++ b/src/entry/item_parser.cpp
@@ -0,0 +1,127 @@
+#include "entry/item_parser.hpp"
+
+#include "common/hash.hpp"
+#include "common/result_code.hpp"
+#include "common/utf8.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace tanagertrack::entry
+{
+
+using common::result_code;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::size_t max_custom_id_bytes = 256;
+
+/// Member of an object that is a text; null when there is none.
+const json::string* find_text(const json::object& object, std::string_view name)
+{
+    const auto* member = object.if_contains({name.data(), name.size()});
+    return member != nullptr ? member->if_string() : nullptr;
+}
+
+std::string_view view(const json::string& text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+item_parser::item_parser(std::shared_ptr<const fleet_index> fleet,
+                         std::size_t max_items)
+    : fleet_(std::move(fleet)), max_items_(max_items)
+{
+}
+
+bool item_parser::fail(line_error& error, std::error_code ec,
+                       std::string_view message) const
+{
+    error.ec = ec;
+    error.message = "line " + std::to_string(line_) + ": ";
+    error.message += message.empty() ? ec.message() : std::string(message);
+    return false;
+}
+
+bool item_parser::parse(std::string_view line, proto::Item& out,
+                        line_error& error)
+{
+    ++line_;
+    if (std::ranges::all_of(line, [](char c)
+                            { return c == ' ' || c == '\t' || c == '\r'; }))
+        return false;
+    if (!common::is_valid_utf8(line))
+        return fail(error, result_code::invalid_utf8, {});
+    json::error_code ec;
+    const auto value = json::parse({line.data(), line.size()}, ec);
+    if (ec)
+        return fail(error, result_code::malformed_json, {});
+    const auto* object = value.if_object();
+    if (object == nullptr)
+        return fail(error, result_code::invalid_request, "not an object");
+
+    const auto* id = find_text(*object, "custom_id");
+    if (id == nullptr || id->empty() || id->size() > max_custom_id_bytes)
+        return fail(error, result_code::invalid_request,
+                    "custom_id: expected a text of 1 to 256 bytes");
+    const auto* method = find_text(*object, "method");
+    if (method == nullptr || view(*method) != "POST")
+        return fail(error, result_code::invalid_request,
+                    "method: expected \"POST\"");
+    const auto* url = find_text(*object, "url");
+    if (url == nullptr)
+        return fail(error, result_code::invalid_request,
+                    "url: expected a text");
+    const auto* body = object->if_contains("body");
+    if (body == nullptr || !body->is_object())
+        return fail(error, result_code::invalid_request,
+                    "body: expected an object");
+
+    const auto target = view(*url);
+    if (target == "/v1/chat/completions" || target == "/v1/completions")
+    {
+        out.set_method(target == "/v1/completions"
+                           ? proto::ITEM_METHOD_COMPLETION
+                           : proto::ITEM_METHOD_CHAT);
+        const auto* model = find_text(body->get_object(), "model");
+        if (model == nullptr)
+            return fail(error, result_code::invalid_request,
+                        "body.model: expected a text");
+        if (!fleet_->has_model(view(*model)))
+            return fail(error, result_code::unknown_model, {});
+        out.set_model(model->data(), model->size());
+    }
+    else
+    {
+        const auto service = parse_service_target(target);
+        if (!service)
+            return fail(error, result_code::unknown_path, {});
+        const auto* rules = fleet_->find_service(service->name);
+        if (rules == nullptr)
+            return fail(error, result_code::unknown_service, {});
+        const auto repeatable = rules->is_repeatable("POST", service->path);
+        if (!repeatable)
+            return fail(error, result_code::invalid_request,
+                        "url: the path is ambiguous");
+        out.set_method(proto::ITEM_METHOD_SERVICE);
+        out.set_model(service->name);
+        out.set_path(service->path);
+        out.set_not_repeatable(!*repeatable);
+    }
+
+    if (ids_.size() >= max_items_)
+        return fail(error, result_code::too_many_items, {});
+    if (!ids_.insert(common::hash64(view(*id))).second)
+        return fail(error, result_code::duplicate_custom_id, {});
+    out.set_custom_id(id->data(), id->size());
+    const auto text = json::serialize(*body);
+    out.set_body(text.data(), text.size());
+    return true;
+}
+
+} // namespace tanagertrack::entry
