Serve jobs, calls that run once and forwarded requests in the entry

The entry process starts the batch service, gives it the requests of the front and the forward streams of other entries, and waits for it to give its partitions back when it stops.

--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -78,18 +78,30 @@
     settings.read_wait = parts_.settings.platform.log_read_wait;
     settings.seed = common::hash64(writer_, partition);
     partition_owner::hooks hooks;
-    hooks.on_held = [this, partition] { note_held(partition); };
+    hooks.on_held = [this, partition]
+    {
+        note_held(partition);
+    };
     hooks.on_idle = [this, partition](const state::claim_info& seen)
-    { note_idle(partition, seen); };
+    {
+        note_idle(partition, seen);
+    };
     hooks.on_job_accepted = [this, partition](const state::job& job)
-    { dispatcher_->add_job(partition, job); };
+    {
+        dispatcher_->add_job(partition, job);
+    };
     hooks.on_job_cancelled = [this](const state::job& job)
-    { dispatcher_->cancel_job(job); };
+    {
+        dispatcher_->cancel_job(job);
+    };
     hooks.on_forgotten = [this](const std::string& id)
-    { dispatcher_->forget_job(id); };
-    hooks.on_item_completed =
-        [](const state::job&, const proto::ItemResult&) {};
-    hooks.on_progress = [] {};
+    {
+        dispatcher_->forget_job(id);
+    };
+    hooks.on_item_completed = [](const state::job&, const proto::ItemResult&) {
+    };
+    hooks.on_progress = [] {
+    };
     owners_.push_back(std::make_unique<partition_owner>(
         parts_.context, parts_.log, std::move(settings), std::move(hooks)));
 }
@@ -115,9 +127,9 @@
         if (it->phase() != owner_phase::idle)
             return;
     // Once only, and not within a hook of an owner.
-    boost::asio::post(parts_.context,
-                      [self = shared_from_this(),
-                       stopped = std::exchange(stopped_, [] {})] { stopped(); });
+    boost::asio::post(parts_.context, [self = shared_from_this(),
+                                       stopped = std::exchange(stopped_, [] {})]
+                      { stopped(); });
 }
 
 void batch_core::note_held(std::uint32_t partition)
@@ -138,8 +150,8 @@
 
 void batch_core::release(std::uint32_t partition)
 {
-    dispatcher_->drain_partition(
-        partition, [this, partition] { owners_[partition]->release(); });
+    dispatcher_->drain_partition(partition, [this, partition]
+                                 { owners_[partition]->release(); });
 }
 
 void batch_core::send_fences()
@@ -196,7 +208,9 @@
     if (wait)
         handler = [set = recorded.setter()](std::error_code ec,
                                             record_position position)
-        { set({ec, position}); };
+        {
+            set({ec, position});
+        };
 
     // Wait for room in the queue.
     for (;;)
--- a/src/entry/batch_core.hpp
+++ b/src/entry/batch_core.hpp
@@ -117,10 +117,11 @@
     /// Appends an entry under a claim of this entry and waits until it is read
     /// back, or until `deadline`. A null handler is enough for an entry that
     /// another one follows: with `wait` false, waits for room only.
-    boost::asio::awaitable<recorded_entry>
-    record(std::uint32_t partition, std::uint64_t claim,
-           proto::PartitionEntry entry, common::time_point deadline,
-           bool wait = true);
+    boost::asio::awaitable<recorded_entry> record(std::uint32_t partition,
+                                                  std::uint64_t claim,
+                                                  proto::PartitionEntry entry,
+                                                  common::time_point deadline,
+                                                  bool wait = true);
 
 private:
     void make_owner(std::uint32_t partition);
--- a/src/entry/batch_service.cpp
+++ b/src/entry/batch_service.cpp
@@ -74,8 +74,8 @@
     const bool get = head.method == "GET";
     if (path.empty() || path == "/")
     {
-        out.wanted = post ? batch_route::action::create
-                          : batch_route::action::list;
+        out.wanted =
+            post ? batch_route::action::create : batch_route::action::list;
         return post || get ? result_code::ok : result_code::method_not_allowed;
     }
     path.remove_prefix(1);
@@ -199,7 +199,9 @@
         auto intake =
             std::make_shared<job_intake>(core, request, std::move(id));
         auto run = [](std::shared_ptr<job_intake> it) -> asio::awaitable<void>
-        { co_await it->run(); };
+        {
+            co_await it->run();
+        };
         return spawn(run(std::move(intake)));
     }
     const auto& state = core->owner(partition).state();
@@ -216,14 +218,13 @@
     case batch_route::action::cancel:
         return spawn(cancel_job(core, request, partition, id.id));
     default:
-        request->respond({}, batch_object(
-                                 *job, core->dispatch().open_work(id.id)));
+        request->respond({},
+                         batch_object(*job, core->dispatch().open_work(id.id)));
     }
 }
 
 void batch_service::impl::serve_call(const exchange_ptr& request,
-                                     const std::string& service,
-                                     bool forwarded)
+                                     const std::string& service, bool forwarded)
 {
     const auto& head = request->head();
     if (head.idempotency_key.empty())
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -3,6 +3,7 @@
 #include "common/duty_thread.hpp"
 #include "common/logging.hpp"
 #include "common/metrics.hpp"
+#include "entry/batch_service.hpp"
 #include "entry/caller_exchange.hpp"
 #include "entry/config_follower.hpp"
 #include "entry/config_puller.hpp"
@@ -21,6 +22,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <future>
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -85,11 +87,16 @@
                  [this](proto::ConfigPush push)
                  { follower.load(std::move(push)); }),
           follower({values, metrics, config, log_thread, log,
-                    [this] { ask_peers(); }}),
+                    [this]
+                    {
+                        ask_peers();
+                    }}),
+          batch({values, metrics, config, batch_thread, log_thread, peer_thread,
+                 pool}),
           front({values, metrics, config, router, peer_thread, batch_thread,
                  make_batch_calls()}),
-          operators({values, metrics, config, follower, front, peer_thread,
-                     pool}),
+          operators(
+              {values, metrics, config, follower, front, peer_thread, pool}),
           front_server(front_thread.context(), front_http(values),
                        [this](const http::http_exchange_ptr& it)
                        { front.handle(it); }),
@@ -116,13 +123,17 @@
 
     batch_calls make_batch_calls()
     {
-        const auto unavailable = [](const exchange_ptr& request)
-        { refuse(*request, http::rejection(result_code::no_partition_holder)); };
+        // Called after construction only.
         batch_calls calls;
-        calls.handle_batches = unavailable;
+        calls.handle_batches = [this](const exchange_ptr& request)
+        {
+            batch.handle_batches(request);
+        };
         calls.handle_call_once =
-            [unavailable](const exchange_ptr& request, const std::string&)
-        { unavailable(request); };
+            [this](const exchange_ptr& request, const std::string& service)
+        {
+            batch.handle_call_once(request, service);
+        };
         return calls;
     }
 
@@ -130,6 +141,8 @@
     {
         if (stream->path() == "/config")
             return answer_config(stream);
+        if (stream->path() == "/forward")
+            return batch.handle_forward(stream);
         common::log_warning("stream_path_unknown", {{"path", stream->path()}});
         stream->reset();
     }
@@ -159,6 +172,9 @@
     // On the `log` thread.
     config_follower follower;
 
+    // On the `batch` thread.
+    batch_service batch;
+
     // On the `front` thread.
     front_service front;
     operator_service operators;
@@ -193,8 +209,9 @@
         return ec;
     it.running = true;
     it.follower.start();
-    for (auto* thread : {&it.log_thread, &it.peer_thread, &it.batch_thread,
-                         &it.front_thread})
+    it.batch.start();
+    for (auto* thread :
+         {&it.log_thread, &it.peer_thread, &it.batch_thread, &it.front_thread})
         thread->start();
     common::log_info("entry_started", {{"name", at.name}});
     return {};
@@ -205,13 +222,17 @@
     auto& it = *impl_;
     if (!std::exchange(it.running, false))
         return;
-    common::log_info("entry_stopping",
-                     {{"requests", it.front.in_progress()}});
+    common::log_info("entry_stopping", {{"requests", it.front.in_progress()}});
     const auto deadline = common::clock::now() + it.settings.stop.grace;
     it.front.stop();
     while (it.front.in_progress() > 0 && common::clock::now() < deadline)
         std::this_thread::sleep_for(stop_poll_interval);
 
+    // Partitions go to other entries; without the log they can't.
+    const auto released = std::make_shared<std::promise<void>>();
+    it.batch.stop([released] { released->set_value(); });
+    released->get_future().wait_until(deadline);
+
     // Other entries see GOAWAY and open no further streams.
     it.peer_thread.post_completion([&it] { it.peer_server.stop_accepting(); });
     const auto peer_deadline = common::clock::now() + peer_stop_time;
@@ -224,12 +245,11 @@
         if (open)
             std::this_thread::sleep_for(stop_poll_interval);
     }
-    for (auto* thread : {&it.front_thread, &it.batch_thread, &it.peer_thread,
-                         &it.log_thread})
+    for (auto* thread :
+         {&it.front_thread, &it.batch_thread, &it.peer_thread, &it.log_thread})
         thread->stop();
     it.router.close();
-    common::log_info("entry_stopped",
-                     {{"requests", it.front.in_progress()}});
+    common::log_info("entry_stopped", {{"requests", it.front.in_progress()}});
 }
 
 int entry_process::run()
--- a/src/entry/forward_client.cpp
+++ b/src/entry/forward_client.cpp
@@ -43,10 +43,17 @@
     {
         transport::stream_hooks hooks;
         hooks.on_message = [self = shared_from_this()](std::string_view message)
-        { self->take_message(message); };
-        hooks.on_writable = [self = shared_from_this()] { self->writable(); };
+        {
+            self->take_message(message);
+        };
+        hooks.on_writable = [self = shared_from_this()]
+        {
+            self->writable();
+        };
         hooks.on_closed = [self = shared_from_this()](std::error_code)
-        { self->closed(); };
+        {
+            self->closed();
+        };
         stream_ = connection.open(forward_path, std::move(hooks));
         if (!stream_)
             return refuse_unsent();
@@ -157,11 +164,11 @@
         }
         if (!message.body().empty())
             write(message.body());
-        if (message.end())
-        {
-            request_->finish();
-            end();
-        }
+        if (!message.end())
+            return;
+        finished_ = true;
+        if (writing_ == 0)
+            finish();
     }
 
     void write(const std::string& data)
@@ -175,13 +182,11 @@
 
     void write_next()
     {
-        request_->write(
-            std::move(pieces_.front()),
-            [self = shared_from_this()](std::error_code ec)
-            {
-                self->peer_thread_.post_completion([self, ec]
-                                                   { self->written(ec); });
-            });
+        request_->write(std::move(pieces_.front()),
+                        [self = shared_from_this()](std::error_code ec) {
+                            self->peer_thread_.post_completion(
+                                [self, ec] { self->written(ec); });
+                        });
     }
 
     void written(std::error_code ec)
--- a/src/entry/forward_exchange.cpp
+++ b/src/entry/forward_exchange.cpp
@@ -36,11 +36,17 @@
         on_head_ = std::move(on_head);
         transport::stream_hooks hooks;
         hooks.on_message = [self = shared_from_this()](std::string_view message)
-        { self->take_message(message); };
+        {
+            self->take_message(message);
+        };
         hooks.on_writable = [self = shared_from_this()]
-        { self->call_written({}); };
+        {
+            self->call_written({});
+        };
         hooks.on_closed = [self = shared_from_this()](std::error_code)
-        { self->closed(); };
+        {
+            self->closed();
+        };
         stream_->set_hooks(std::move(hooks));
     }
 
@@ -179,11 +185,14 @@
     forward_exchange(std::shared_ptr<forward_stream> stream,
                      common::duty_thread& peer_thread,
                      const proto::ForwardHead& head)
-        : stream_(std::move(stream)), peer_thread_(peer_thread),
-          head_{head.method(),          head.target(),
-                head.team(),            head.idempotency_key(),
-                head.content_type(),    head.request_id(),
-                head.content_length()}
+        : stream_(std::move(stream)),
+          peer_thread_(peer_thread), head_{head.method(),
+                                           head.target(),
+                                           head.team(),
+                                           head.idempotency_key(),
+                                           head.content_type(),
+                                           head.request_id(),
+                                           head.content_length()}
     {
     }
 
--- a/src/entry/job_answers.cpp
+++ b/src/entry/job_answers.cpp
@@ -189,8 +189,8 @@
         else
         {
             line["response"] = nullptr;
-            line["error"] = error_value(it.code(), row_execution(it.code()),
-                                        it.body());
+            line["error"] =
+                error_value(it.code(), row_execution(it.code()), it.body());
         }
         line["target"] = it.target();
         line["attempts"] = it.attempts();
@@ -281,9 +281,9 @@
     {
         proto::PartitionEntry entry;
         entry.mutable_job_cancel()->set_job_id(job_id);
-        const auto done = co_await core->record(
-            partition, claim, std::move(entry),
-            common::clock::now() + cancel_patience);
+        const auto done =
+            co_await core->record(partition, claim, std::move(entry),
+                                  common::clock::now() + cancel_patience);
         if (done.ec)
         {
             http::rejection why(common::to_result_code(done.ec));
--- a/src/entry/job_intake.cpp
+++ b/src/entry/job_intake.cpp
@@ -86,8 +86,8 @@
     if (!fleet)
         return not_run(result_code::no_configuration);
     const auto& limits = core_->settings().batch;
-    parser_ =
-        std::make_unique<item_parser>(std::move(fleet), limits.max_items_per_job);
+    parser_ = std::make_unique<item_parser>(std::move(fleet),
+                                            limits.max_items_per_job);
     known_ = find_job() != nullptr;
     if (known_)
         return std::nullopt;
@@ -125,8 +125,8 @@
     }
 }
 
-asio::awaitable<job_intake::result> job_intake::take_piece(
-    std::string_view piece, bool end)
+asio::awaitable<job_intake::result>
+job_intake::take_piece(std::string_view piece, bool end)
 {
     const auto max_line = core_->settings().front.max_line_bytes;
     for (;;)
@@ -163,8 +163,8 @@
         co_return not_run(common::to_result_code(error.ec), error.message);
     }
 
-    const auto limit = core_->settings().platform.max_record_bytes -
-                       2 * chunk_overhead_bytes;
+    const auto limit =
+        core_->settings().platform.max_record_bytes - 2 * chunk_overhead_bytes;
     const auto bytes = item.ByteSizeLong() + 8;
     if (bytes > limit)
         co_return not_run(result_code::line_too_long,
@@ -194,8 +194,8 @@
     chunk.set_first_item(appended_);
     appended_ += static_cast<std::uint32_t>(chunk.items_size());
     const auto deadline = common::clock::now() + log_patience;
-    const auto done = co_await core_->record(
-        id_.partition, claim_, std::move(entry), deadline, false);
+    const auto done = co_await core_->record(id_.partition, claim_,
+                                             std::move(entry), deadline, false);
     if (done.ec == result_code::stale_claim)
         co_return not_run(result_code::no_partition_holder);
     if (done.ec)
@@ -215,8 +215,8 @@
         co_return why;
 
     const auto now = common::unix_time_ms();
-    const auto retention = std::max(limits.result_retention,
-                                    limits.key_retention);
+    const auto retention =
+        std::max(limits.result_retention, limits.key_retention);
     proto::PartitionEntry entry;
     auto& commit = *entry.mutable_job_commit();
     commit.set_job_id(id_.id);
@@ -226,8 +226,8 @@
     commit.set_content_hash(hash_.digest());
     commit.set_item_count(appended_);
     commit.set_created_ms(now);
-    commit.set_keep_until_ms(now + static_cast<std::uint64_t>(
-                                       retention.count()));
+    commit.set_keep_until_ms(now +
+                             static_cast<std::uint64_t>(retention.count()));
     const auto deadline = common::clock::now() + log_patience;
     const auto done = co_await core_->record(id_.partition, claim_,
                                              std::move(entry), deadline);
@@ -264,8 +264,8 @@
         common::log_info("job_accepted", {{"job", id_.id},
                                           {"team", job.commit().team()},
                                           {"items", job.item_count()}});
-    request_->respond({}, batch_object(job, core_->dispatch().open_work(
-                                                id_.id)));
+    request_->respond({},
+                      batch_object(job, core_->dispatch().open_work(id_.id)));
 }
 
 } // namespace tanagertrack::entry
--- a/src/entry/once_calls.cpp
+++ b/src/entry/once_calls.cpp
@@ -9,6 +9,9 @@
 
 #include <utility>
 
+// GCC 12 takes the allocator of inlined coroutine frames for a mismatch.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 namespace tanagertrack::entry
 {
 
@@ -67,7 +70,8 @@
     it.service = std::move(service);
     it.id = std::move(id);
     it.claim = core_->owner(it.id.partition).claim_offset();
-    it.deadline = common::clock::now() + core_->settings().front.request_timeout;
+    it.deadline =
+        common::clock::now() + core_->settings().front.request_timeout;
     for (bool end = false; !end;)
     {
         auto piece = co_await read_piece(request);
@@ -264,9 +268,8 @@
     {
         const auto limit = core_->settings().platform.max_record_bytes -
                            outcome_overhead_bytes;
-        outcome.set_status(finished->http_status() < 400
-                               ? proto::ITEM_SUCCEEDED
-                               : proto::ITEM_FAILED);
+        outcome.set_status(finished->http_status() < 400 ? proto::ITEM_SUCCEEDED
+                                                         : proto::ITEM_FAILED);
         result.head.status = finished->http_status();
         result.head.content_type = finished->content_type();
         result.body = finished->body();
@@ -293,9 +296,9 @@
     // The caller gets the answer in any case; without a record, a later call
     // with the same key is told that it may have run.
     if (!co_await record_outcome(it, std::move(outcome)))
-        common::log_warning("outcome_not_recorded",
-                            {{"call", it.id.id},
-                             {"request_id", request->head().request_id}});
+        common::log_warning(
+            "outcome_not_recorded",
+            {{"call", it.id.id}, {"request_id", request->head().request_id}});
     co_return result;
 }
 
--- a/src/entry/once_calls.hpp
+++ b/src/entry/once_calls.hpp
@@ -62,9 +62,8 @@
                                                call_context it);
     boost::asio::awaitable<call_answer> wait_for(exchange_ptr request,
                                                  call_context it);
-    boost::asio::awaitable<call_answer> finish(exchange_ptr request,
-                                               call_context it,
-                                               attempt_end end);
+    boost::asio::awaitable<call_answer>
+    finish(exchange_ptr request, call_context it, attempt_end end);
     boost::asio::awaitable<bool> record_outcome(const call_context& it,
                                                 proto::Outcome outcome);
     boost::asio::awaitable<void> forget(const call_context& it);
--- a/test/entry/test_batch_streams.cpp
+++ b/test/entry/test_batch_streams.cpp
@@ -65,6 +65,8 @@
 {
     log.lose_answers = 2;
     BOOST_TEST(push(10));
+    BOOST_TEST(test::run_until(context, [&]
+                               { return log.records("batch-0").size() == 1; }));
     BOOST_TEST(push(11));
     BOOST_TEST(test::run_until(context, [&]
                                { return log.records("batch-0").size() == 4; }));
@@ -104,6 +106,8 @@
 {
     log.outage = true;
     BOOST_TEST(push(10));
+    BOOST_TEST(
+        test::run_until(context, [&] { return appender->appends() > 0; }));
     BOOST_TEST(push(10));
     appender->drop_all();
     BOOST_REQUIRE(results.size() == 2u);
