--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -3,6 +3,7 @@
 #include "common/duty_thread.hpp"
 #include "common/logging.hpp"
 #include "common/metrics.hpp"
+#include "entry/batch_service.hpp"
 #include "entry/caller_exchange.hpp"
 #include "entry/config_follower.hpp"
 #include "entry/config_puller.hpp"
@@ -21,6 +22,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <future>
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -89,6 +91,8 @@
                     {
                         ask_peers();
                     }}),
+          batch({values, metrics, config, batch_thread, log_thread, peer_thread,
+                 pool}),
           front({values, metrics, config, router, peer_thread, batch_thread,
                  make_batch_calls()}),
           operators(
@@ -119,16 +123,16 @@
 
     batch_calls make_batch_calls()
     {
-        const auto unavailable = [](const exchange_ptr& request)
+        // Called after construction only.
+        batch_calls calls;
+        calls.handle_batches = [this](const exchange_ptr& request)
         {
-            refuse(*request, http::rejection(result_code::no_partition_holder));
+            batch.handle_batches(request);
         };
-        batch_calls calls;
-        calls.handle_batches = unavailable;
         calls.handle_call_once =
-            [unavailable](const exchange_ptr& request, const std::string&)
+            [this](const exchange_ptr& request, const std::string& service)
         {
-            unavailable(request);
+            batch.handle_call_once(request, service);
         };
         return calls;
     }
@@ -137,6 +141,8 @@
     {
         if (stream->path() == "/config")
             return answer_config(stream);
+        if (stream->path() == "/forward")
+            return batch.handle_forward(stream);
         common::log_warning("stream_path_unknown", {{"path", stream->path()}});
         stream->reset();
     }
@@ -166,6 +172,9 @@
     // On the `log` thread.
     config_follower follower;
 
+    // On the `batch` thread.
+    batch_service batch;
+
     // On the `front` thread.
     front_service front;
     operator_service operators;
@@ -200,6 +209,7 @@
         return ec;
     it.running = true;
     it.follower.start();
+    it.batch.start();
     for (auto* thread :
          {&it.log_thread, &it.peer_thread, &it.batch_thread, &it.front_thread})
         thread->start();
@@ -218,6 +228,11 @@
     while (it.front.in_progress() > 0 && common::clock::now() < deadline)
         std::this_thread::sleep_for(stop_poll_interval);
 
+    // Partitions go to other entries; without the log they can't.
+    const auto released = std::make_shared<std::promise<void>>();
+    it.batch.stop([released] { released->set_value(); });
+    released->get_future().wait_until(deadline);
+
     // Other entries see GOAWAY and open no further streams.
     it.peer_thread.post_completion([&it] { it.peer_server.stop_accepting(); });
     const auto peer_deadline = common::clock::now() + peer_stop_time;
