--- a/src/state/partition_state.cpp
+++ b/src/state/partition_state.cpp
@@ -146,7 +146,8 @@
 
 const claim_info& partition_state::claim() const
 {
-    return claim_;
+    static const claim_info none;
+    return live_ ? claim_ : none;
 }
 
 std::uint64_t partition_state::last_sequence() const
@@ -373,9 +374,11 @@
     {
         if (is_fresh_start(*claim))
             return apply_claim(offset, record, hooks);
-        // The parts of the replaced holder that follow will be void.
-        if (checkpoint_ && is_valid_claim(*claim))
+        // Whether the claim is valid or not, what it names as the current
+        // claim was valid before it and no longer is.
+        if (claim->replaces() == claim_.offset)
             clear();
+        newest_claim_ = std::max(newest_claim_, claim->replaces() + 1);
         return record_verdict::skipped;
     }
     if (record.claim_offset() < newest_claim_)
--- a/src/state/partition_state.hpp
+++ b/src/state/partition_state.hpp
@@ -122,13 +122,17 @@
 /// above 1, or finds a gap before a record, is not live and judges nothing
 /// until it has read either a claim with `first_kept` or a complete
 /// checkpoint. The claim offset, writer, sequence and holder in the
-/// checkpoint's records then define the current claim. `checkpoint_offset`
-/// in the heartbeat of the holder with the highest claim is always the place
-/// of a valid checkpoint; without it, void checkpoints of replaced holders
-/// can't be told from valid ones at once. Therefore records that carry a
-/// lower claim offset than another record seen since the reset are skipped,
-/// and a record with a higher claim offset than the adopted claim shows that
-/// the claim had been replaced: the state is dropped and waits again.
+/// checkpoint's records then define the current claim. A checkpoint is only
+/// adopted under a claim that is not known to be replaced: not below a claim
+/// offset in a record seen since the reset, nor at or below a claim that a
+/// claim seen since replaces. Start at the `checkpoint_offset` in the
+/// heartbeat with the highest claim: that checkpoint is valid. Without any
+/// heartbeat, start at the first offset that is kept: the checkpoint of a
+/// paused holder can then be taken for valid if the claim that replaced it
+/// has expired; a record under a claim that the adopted one can't have
+/// preceded shows this, and the state is dropped and waits again. Likewise
+/// the resent copy of a checkpoint, or of a claim with `first_kept`, whose
+/// first copy has expired is taken for the first.
 class partition_state
 {
 public:
@@ -150,7 +154,7 @@
     /// Offset of the record to apply next.
     std::uint64_t next_offset() const;
 
-    /// Current claim; offset 0: none. Also while `released`.
+    /// Current claim, also a released one; offset 0: none, or not live.
     const claim_info& claim() const;
 
     /// Last valid sequence number of the current claim; 0: none yet.
@@ -277,7 +281,7 @@
     std::uint64_t adopted_claim_ = 0;
     std::uint64_t adopted_at_ = 0;
 
-    /// While not live: highest claim offset in a record since the reset.
+    /// While not live: records with a lower claim offset are void.
     std::uint64_t newest_claim_ = 0;
     claim_info claim_;
     std::uint64_t last_sequence_ = 0;
