--- /dev/null
+++ b/test/standin/main.cpp
@@ -0,0 +1,216 @@
+#include "standin/engine_stand_in.hpp"
+#include "standin/host_list_stand_in.hpp"
+#include "standin/http_server.hpp"
+#include "standin/log_stand_in.hpp"
+#include "standin/service_stand_in.hpp"
+#include "standin/tcp_proxy.hpp"
+#include "standin/weight_store_stand_in.hpp"
+
+#include "common/endpoint.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace tanagertrack;
+using boost::asio::awaitable;
+using boost::asio::ip::tcp;
+
+/// Options of all kinds of stand-ins.
+struct options
+{
+    std::string kind;
+    std::string listen;
+    std::string control;
+    std::string upstream;
+    std::string name;
+    std::string hosts;
+    std::int64_t lag_ms = 5000;
+    standin::log_settings log;
+    standin::engine_settings engine;
+    standin::weight_store_settings weights;
+};
+
+/// Binds integer options of the command line to settings.
+class integer_options
+{
+public:
+    explicit integer_options(TCLAP::CmdLine& cmd) : cmd_(cmd)
+    {
+    }
+
+    void add(const char* name, std::int64_t& value, const char* help)
+    {
+        rows_.push_back({std::make_unique<TCLAP::ValueArg<std::int64_t>>(
+                             "", name, help, false, value, "N", cmd_),
+                         &value});
+    }
+
+    /// Sets the values from the parsed command line.
+    void store() const
+    {
+        for (const auto& it : rows_)
+            *it.value = it.argument->getValue();
+    }
+
+private:
+    struct row
+    {
+        std::unique_ptr<TCLAP::ValueArg<std::int64_t>> argument;
+        std::int64_t* value;
+    };
+
+    TCLAP::CmdLine& cmd_;
+    std::vector<row> rows_;
+};
+
+options read_options(int argc, char** argv)
+{
+    options out;
+    TCLAP::CmdLine cmd("Stand-in for a platform service, for tests.", ' ',
+                       "0.1.0");
+    TCLAP::ValueArg<std::string> kind(
+        "", "kind", "engine, service, log, hosts, weights or proxy", true, "",
+        "KIND", cmd);
+    TCLAP::ValueArg<std::string> listen("", "listen", "address", true, "",
+                                        "IP:PORT", cmd);
+    TCLAP::ValueArg<std::string> control("", "control",
+                                         "proxy: address of its HTTP paths",
+                                         false, "", "IP:PORT", cmd);
+    TCLAP::ValueArg<std::string> upstream("", "upstream",
+                                          "proxy: where connections go", false,
+                                          "", "IP:PORT", cmd);
+    TCLAP::ValueArg<std::string> name("", "name", "service: name in answers",
+                                      false, "service", "NAME", cmd);
+    TCLAP::ValueArg<std::string> hosts("", "hosts", "hosts: live hosts", false,
+                                       "127.0.0.1", "IP,...", cmd);
+    TCLAP::SwitchArg check_fencing("", "check-fencing",
+                                   "engine: refuse old fencing numbers", cmd);
+    integer_options integers(cmd);
+    auto& log = out.log;
+    integers.add("retain-records", log.retain_records,
+                 "log: records kept in a stream");
+    integers.add("retain-ms", log.retain_ms, "log: age of records kept");
+    integers.add("appends-per-second", log.appends_per_second,
+                 "log: appends accepted in a second");
+    integers.add("max-bytes", log.max_bytes, "log: bytes kept");
+    auto& engine = out.engine;
+    integers.add("slots", engine.slots, "engine: sequences at a time");
+    integers.add("base-us", engine.base_us, "engine: time of a step");
+    integers.add("per-sequence-us", engine.per_sequence_us,
+                 "engine: time that a sequence adds to a step");
+    integers.add("prefill-us-per-byte", engine.prefill_us_per_byte,
+                 "engine: time for a prompt byte that is not cached");
+    integers.add("cache-blocks", engine.cache_blocks,
+                 "engine: prompt blocks of 64 bytes cached");
+    integers.add("cache-lag-ms", engine.cache_lag_ms,
+                 "engine: delay of cache events");
+    integers.add("cache-gap", engine.cache_gap,
+                 "engine: each n-th cache event is lost");
+    integers.add("load-lag-ms", engine.load_lag_ms,
+                 "engine: age of the reported load");
+    integers.add("max-seen", engine.max_seen,
+                 "engine: executions listed for checkers");
+
+    integers.add("lag-ms", out.lag_ms, "hosts: delay of changes");
+    integers.add("reads-per-second", out.weights.reads_per_second,
+                 "weights: reads answered in a second");
+    integers.add("weight-bytes", out.weights.weight_bytes,
+                 "weights: size of each model");
+
+    cmd.parse(argc, argv);
+    integers.store();
+    out.kind = kind.getValue();
+    out.listen = listen.getValue();
+    out.control = control.getValue();
+    out.upstream = upstream.getValue();
+    out.name = name.getValue();
+    out.hosts = hosts.getValue();
+    engine.check_fencing = check_fencing.getValue();
+    return out;
+}
+
+tcp::endpoint parse_address(const std::string& text)
+{
+    const auto parsed = common::parse_endpoint(text);
+    if (!parsed)
+        throw std::invalid_argument(text + ": expected IP:PORT");
+    return {boost::asio::ip::make_address(parsed->address), parsed->port};
+}
+
+/// Ends the process when a coroutine that runs for its whole life fails.
+void rethrow(const std::exception_ptr& error)
+{
+    if (error)
+        std::rethrow_exception(error);
+}
+
+/// Makes the stand-in of the kind and starts what it runs by itself.
+std::unique_ptr<standin::stand_in>
+make_service(boost::asio::io_context& context, const options& it)
+{
+    const auto executor = context.get_executor();
+    if (it.kind == "log")
+        return std::make_unique<standin::log_stand_in>(executor, it.log);
+    if (it.kind == "service")
+        return std::make_unique<standin::service_stand_in>(it.name);
+    if (it.kind == "hosts")
+        return std::make_unique<standin::host_list_stand_in>(it.hosts,
+                                                             it.lag_ms);
+    if (it.kind == "weights")
+        return std::make_unique<standin::weight_store_stand_in>(it.weights);
+    if (it.kind == "engine")
+    {
+        auto out =
+            std::make_unique<standin::engine_stand_in>(executor, it.engine);
+        boost::asio::co_spawn(context, out->run(), rethrow);
+        return out;
+    }
+    if (it.kind == "proxy")
+    {
+        auto out = std::make_unique<standin::tcp_proxy>(
+            executor, parse_address(it.listen), parse_address(it.upstream));
+        boost::asio::co_spawn(context, out->run(), rethrow);
+        return out;
+    }
+    throw std::invalid_argument(it.kind + ": unknown kind");
+}
+
+int run(const options& it)
+{
+    boost::asio::io_context context(1);
+    const auto service = make_service(context, it);
+    const auto& address = it.kind == "proxy" ? it.control : it.listen;
+    standin::http_server server(context.get_executor(), parse_address(address),
+                                *service);
+    boost::asio::co_spawn(context, server.run(), rethrow);
+    context.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(read_options(argc, argv));
+    }
+    catch (const std::exception& e)
+    {
+        std::cerr << "tanagertrack-standin: " << e.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
