--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -1,6 +1,7 @@
 #include "agent/agent_process.hpp"
 #include "common/logging.hpp"
 #include "config/settings.hpp"
+#include "entry/entry_process.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -68,9 +69,9 @@
         std::cout << file.getValue() << ": accepted\n";
         return exit_ok;
     }
-    if (settings.role == "agent")
-        return agent::agent_process(std::move(settings)).run();
-    return exit_ok;
+    if (settings.role == "entry")
+        return entry::entry_process(settings).run();
+    return agent::agent_process(std::move(settings)).run();
 }
 
 } // namespace
