--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -134,14 +134,29 @@
 
 std::uint32_t admission::batch_room(time_point now)
 {
+    // Slots that online work holds can't be promised to batch: the items would
+    // be refused and offered again at once.
+    const auto not_online =
+        settings_.slots - std::min(settings_.slots, running_online());
     const auto used = running_batch() + queued_batch();
-    const auto total = batch_slots(now) + settings_.batch_stock;
+    const auto total =
+        std::min(batch_slots(now), not_online) + settings_.batch_stock;
     return total > used ? total - used : 0;
 }
 
 std::uint32_t admission::queued_online() const
 {
-    return static_cast<std::uint32_t>(online_.size());
+    const auto all = static_cast<std::uint32_t>(online_.size());
+    return all - (queued_batch() - static_cast<std::uint32_t>(batch_.size()));
+}
+
+std::uint32_t admission::queued_batch() const
+{
+    // With policy fifo batch items are in the common queue.
+    const auto common = std::ranges::count(online_, work_class::batch,
+                                           &admission_request::kind);
+    return static_cast<std::uint32_t>(batch_.size()) +
+           static_cast<std::uint32_t>(common);
 }
 
 // ---- queues ----
--- a/src/agent/admission.hpp
+++ b/src/agent/admission.hpp
@@ -154,10 +154,7 @@
 
     std::uint32_t queued_online() const;
 
-    std::uint32_t queued_batch() const
-    {
-        return static_cast<std::uint32_t>(batch_.size());
-    }
+    std::uint32_t queued_batch() const;
 
     /// Measured times and the adaptive limit.
     batch_limit& limit()
--- a/src/platform/http_target.cpp
+++ b/src/platform/http_target.cpp
@@ -264,13 +264,15 @@
         sse_parser sse([this](std::string_view data) { event(data); },
                        pool_->settings().max_answer_bytes);
 
+        // `async_read` would wait until the piece is full, and so hold back
+        // events that have arrived.
         std::array<char, read_bytes> piece;
         while (!in.is_done())
         {
             error_code ec;
             in.get().body().data = piece.data();
             in.get().body().size = piece.size();
-            co_await http::async_read(
+            co_await http::async_read_some(
                 connection_->stream, connection_->buffer, in,
                 asio::redirect_error(asio::use_awaitable, ec));
             if (ec && ec != http::error::need_buffer)
--- a/test/agent/test_admission.cpp
+++ b/test/agent/test_admission.cpp
@@ -99,6 +99,19 @@
     BOOST_TEST(!was(1, kind::preempt));
 }
 
+// Guards against credit for items that are then refused, which entries would
+// send again without end.
+BOOST_AUTO_TEST_CASE(room_leaves_out_slots_that_online_holds)
+{
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        offer(id, work_class::online);
+    BOOST_TEST(under_test().batch_room(now) == 3u);
+    for (std::uint64_t id = 4; id <= 6; ++id)
+        offer(id, work_class::batch);
+    BOOST_TEST(!was(6, kind::refuse, result_code::overloaded));
+    BOOST_TEST(under_test().batch_room(now) == 0u);
+}
+
 // Guards against online work that waits behind batch work, and against the
 // loss of the item with the most text.
 BOOST_AUTO_TEST_CASE(online_preempts_the_item_that_loses_least)
@@ -224,6 +237,9 @@
         offer(id, work_class::batch);
     offer(6, work_class::online);
     BOOST_TEST(under_test().running_batch() == 4u);
+    BOOST_TEST(under_test().queued_batch() == 1u);
+    BOOST_TEST(under_test().queued_online() == 1u);
+    BOOST_TEST(under_test().batch_room(now) == 1u);
     end(1);
     BOOST_TEST(was(5, kind::start));
     BOOST_TEST(!last.contains(6));
--- a/test/platform/test_http_target.cpp
+++ b/test/platform/test_http_target.cpp
@@ -215,6 +215,17 @@
     BOOST_TEST(out.answer->body.empty());
 }
 
+// Guards against events that wait in a buffer for the rest of the answer.
+BOOST_AUTO_TEST_CASE(event_comes_before_the_answer_ends)
+{
+    script = {{{events_head, chunk("data: a\n\n")}}};
+    outcome out;
+    const auto cancel = call(request(true), out);
+    BOOST_TEST(run_until([&] { return out.events.size() == 1; }));
+    BOOST_TEST(!out.ended());
+    cancel();
+}
+
 // Guards against a truncated stream that is taken for a complete answer.
 BOOST_AUTO_TEST_CASE(truncated_answers_are_failures)
 {
