Bound the end of the admission measurement

A run whose agent stopped waited for its answers until it was killed; it now reports after 30 s. Also a member's name follows the naming rules.

--- a/bench/agent_admission.cpp
+++ b/bench/agent_admission.cpp
@@ -32,6 +32,10 @@
         .count();
 }
 
+/// Time for requests that still run at the end; an agent that stopped answers
+/// no more.
+constexpr std::chrono::seconds tail_time{30};
+
 struct admission_options
 {
     common::endpoint agent;
@@ -125,7 +129,8 @@
         // Batch is counted up to here; a request at the end is waited for.
         const auto view = look_at_engine();
         const auto finished = batch_finished_;
-        run_while([&] { return open_online_ > 0; });
+        const auto limit = clock::now() + tail_time;
+        run_while([&] { return open_online_ > 0 && clock::now() < limit; });
         report(view, finished);
     }
 
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -100,7 +100,7 @@
     target_runner runner;
     work_dispatcher work;
     status_hub hub;
-    target_probe probe_;
+    target_probe prober;
     transport::server server;
     http::http_server admin_server;
 
@@ -125,7 +125,7 @@
              max_waiting_bytes),
       work(peer.context(), settings, metrics, runner),
       hub(peer.context(), work),
-      probe_(peer.context(), settings.agent.target_address),
+      prober(peer.context(), settings.agent.target_address),
       server(peer.context(), make_transport_settings(settings),
              [this](transport::message_stream_ptr stream)
              { accept(std::move(stream)); }),
@@ -194,7 +194,7 @@
 
 void agent_process::impl::probe()
 {
-    probe_.start(
+    prober.start(
         [this](bool reached)
         {
             if (reached)
