--- /dev/null
+++ b/test/integration/fleet.cpp
@@ -0,0 +1,403 @@
+#include "integration/fleet.hpp"
+
+#include "integration/eventually.hpp"
+#include "integration/loopback.hpp"
+#include "proto/records.pb.h"
+#include "standin/answer_text.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <boost/test/results_collector.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+
+#include <cstdlib>
+
+namespace tanagertrack::test
+{
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int port_ranges = 100;
+constexpr int range_ports = 100;
+constexpr auto start_timeout = 20s;
+
+const std::string programs = TANAGERTRACK_BINARY_DIR "/";
+
+/// Ports in the scheme of scripts/make-fleet.sh.
+int entry_port(int base, int n)
+{
+    return base + 10 * n;
+}
+
+int engine_port(int base, int n)
+{
+    return base + 400 + 10 * n + 2;
+}
+
+int service_port(int base, int n)
+{
+    return base + 800 + 10 * n + 2;
+}
+
+/// Text of a member; empty when it is missing.
+std::string member(const json::object& object, std::string_view name)
+{
+    const auto* it = object.if_contains(name);
+    return it != nullptr && it->is_string() ? std::string(it->get_string())
+                                            : std::string();
+}
+
+void require(bool condition, const std::string& what)
+{
+    if (!condition)
+        throw std::runtime_error(what);
+}
+
+} // namespace
+
+fleet::fleet(fleet_options options) : options_(std::move(options))
+{
+    char folder[] = "/tmp/tanagertrack-test-XXXXXX";
+    require(::mkdtemp(folder) != nullptr, "no temporary folder");
+    folder_ = folder;
+    choose_ports();
+    process script(
+        {TANAGERTRACK_SOURCE_DIR "/scripts/make-fleet.sh", "fondazione",
+         folder_, std::to_string(base_port_), std::to_string(options_.entries),
+         std::to_string(options_.engines), std::to_string(options_.services)},
+        folder_ + "/make-fleet.log");
+    require(script.wait(start_timeout) == 0, "make-fleet.sh failed");
+    start_stand_ins();
+    start_daemons();
+    apply_ticket();
+}
+
+fleet::~fleet()
+{
+    processes_.clear();
+    using namespace boost::unit_test;
+    const auto id = framework::current_test_case().p_id;
+    if (results_collector.results(id).p_assertions_failed == 0)
+        std::filesystem::remove_all(folder_);
+    else
+        BOOST_TEST_MESSAGE("output of the processes: " << folder_);
+}
+
+cli::api_answer fleet::call(int entry, const cli::api_request& request) const
+{
+    return call_port(entry_port(base_port_, entry), team_key, request);
+}
+
+cli::api_answer fleet::operate(int entry, const cli::api_request& request) const
+{
+    return call_port(entry_port(base_port_, entry) + 1, operator_key, request);
+}
+
+std::string fleet::submit(int entry, const std::string& key,
+                          const std::string& lines) const
+{
+    cli::api_answer answer;
+    eventually(start_timeout,
+               [&]
+               {
+                   answer = call(entry, {.method = "POST",
+                                         .target = "/v1/batches",
+                                         .content_type = "application/jsonl",
+                                         .idempotency_key = key,
+                                         .body = lines});
+                   return answer.status != 503;
+               });
+    const auto id = member(parse_object(answer.body), "id");
+    require(answer.status < 300 && !id.empty(),
+            "job not accepted: " + std::to_string(answer.status) +
+                answer.error + answer.body);
+    return id;
+}
+
+json::object fleet::job(int entry, const std::string& id) const
+{
+    return parse_object(call(entry, {.target = "/v1/batches/" + id}).body);
+}
+
+std::int64_t fleet::finished_items(int entry, const std::string& id) const
+{
+    const auto state = job(entry, id);
+    const auto* counts = state.if_contains("request_counts");
+    std::int64_t out = 0;
+    if (counts != nullptr && counts->is_object())
+        for (const auto* name : {"completed", "failed", "unknown"})
+            if (const auto* it = counts->get_object().if_contains(name))
+                out += it->to_number<std::int64_t>();
+    return out;
+}
+
+bool fleet::wait_for_job(int entry, const std::string& id,
+                         std::string_view status,
+                         std::chrono::seconds timeout) const
+{
+    json::object last;
+    const bool reached = eventually(timeout,
+                                    [&]
+                                    {
+                                        last = job(entry, id);
+                                        return member(last, "status") == status;
+                                    });
+    if (!reached)
+        BOOST_TEST_MESSAGE("job: " << json::serialize(last));
+    return reached;
+}
+
+std::multimap<std::string, std::string>
+fleet::results(int entry, const std::string& id) const
+{
+    const auto answer =
+        call(entry, {.target = "/v1/batches/" + id + "/results"});
+    std::multimap<std::string, std::string> out;
+    std::istringstream lines(answer.body);
+    for (std::string line; std::getline(lines, line);)
+    {
+        out.emplace(member(parse_object(line), "custom_id"), line);
+    }
+    return out;
+}
+
+std::string fleet::holder_of(const std::string& job_id) const
+{
+    const auto partition = static_cast<std::uint32_t>(
+        std::stoul(job_id.substr(std::string_view("batch-").size())));
+    const auto answer =
+        call_port(base_port_, {},
+                  {.target = "/streams/control/records?from=1&max_bytes="
+                             "16000000"});
+    std::string holder;
+    std::string_view rest = answer.body;
+    const auto number = [&rest](std::size_t at, std::size_t bytes)
+    {
+        std::uint64_t out = 0;
+        for (std::size_t n = 0; n < bytes; ++n)
+            out = out << 8 | static_cast<std::uint8_t>(rest[at + n]);
+        return out;
+    };
+    constexpr std::size_t head_bytes = 12;
+    while (rest.size() >= head_bytes)
+    {
+        const auto size = number(8, 4);
+        proto::ControlRecord record;
+        record.ParseFromArray(rest.data() + head_bytes, static_cast<int>(size));
+        for (const auto& it : record.heartbeat().partitions())
+            if (it.partition() == partition)
+                holder = record.heartbeat().entry();
+        rest.remove_prefix(head_bytes + size);
+    }
+    return holder;
+}
+
+void fleet::fault(const std::string& stand_in, const std::string& text) const
+{
+    const auto answer =
+        call_port(stand_in_ports_.at(stand_in), {},
+                  {.method = "POST", .target = "/control/fault", .body = text});
+    require(answer.status == 200, stand_in + ": " + answer.body);
+}
+
+json::object fleet::seen(const std::string& stand_in) const
+{
+    return parse_object(
+        call_port(stand_in_ports_.at(stand_in), {}, {.target = "/control/seen"})
+            .body);
+}
+
+std::int64_t fleet::engines_total(std::string_view counter) const
+{
+    std::int64_t out = 0;
+    for (int n = 1; n <= options_.engines; ++n)
+        out += seen("engine-" + std::to_string(n))
+                   .at(counter)
+                   .to_number<std::int64_t>();
+    return out;
+}
+
+process& fleet::at(const std::string& name)
+{
+    return processes_.at(name);
+}
+
+void fleet::restart(const std::string& daemon)
+{
+    processes_.erase(daemon);
+    start(daemon,
+          {programs + "tanagertrackd", folder_ + "/" + daemon + ".yaml"});
+}
+
+void fleet::choose_ports()
+{
+    const auto all_free = [this]
+    {
+        std::vector<int> ports{base_port_, base_port_ + 1};
+        for (int n = 1; n <= options_.entries; ++n)
+            for (int k = 0; k < 3; ++k)
+                ports.push_back(entry_port(base_port_, n) + k);
+        for (int n = 1; n <= options_.engines; ++n)
+            for (int k = 0; k < 3; ++k)
+                ports.push_back(engine_port(base_port_, n) - k);
+        for (int n = 1; n <= options_.services; ++n)
+            for (int k = 0; k < 3; ++k)
+                ports.push_back(service_port(base_port_, n) - k);
+        return std::all_of(ports.begin(), ports.end(), is_free);
+    };
+    std::uniform_int_distribution<int> range(0, port_ranges - 1);
+    do
+        base_port_ = first_port + range_ports * range(port_random());
+    while (!all_free());
+}
+
+void fleet::start_stand_ins()
+{
+    start_stand_in("log", base_port_, {"--kind", "log"});
+    start_stand_in("hosts", base_port_ + 1, {"--kind", "hosts"});
+    for (int n = 1; n <= options_.engines; ++n)
+    {
+        auto arguments = options_.engine_options;
+        arguments.insert(arguments.end(), {"--kind", "engine"});
+        start_stand_in("engine-" + std::to_string(n),
+                       engine_port(base_port_, n), arguments);
+    }
+    for (int n = 1; n <= options_.services; ++n)
+        start_stand_in("service-" + std::to_string(n),
+                       service_port(base_port_, n), {"--kind", "service"});
+    for (const auto& it : stand_in_ports_)
+        require(eventually(start_timeout,
+                           [&] { return answers(it.second, "/healthz"); }),
+                it.first + " does not start");
+}
+
+void fleet::start_daemons()
+{
+    for (int n = 1; n <= options_.entries; ++n)
+        std::ofstream(folder_ + "/entry-" + std::to_string(n) + ".yaml",
+                      std::ios::app)
+            << options_.entry_settings;
+    for (const auto& it : std::filesystem::directory_iterator(folder_))
+    {
+        const auto name = it.path().stem().string();
+        if (it.path().extension() == ".yaml" && !name.starts_with("ticket"))
+            restart(name);
+    }
+    for (int n = 1; n <= options_.entries; ++n)
+        require(eventually(
+                    start_timeout, [&]
+                    { return answers(entry_port(base_port_, n), "/healthz"); }),
+                "entry does not start");
+}
+
+void fleet::apply_ticket()
+{
+    const cli::api_request request{.method = "POST",
+                                   .target = "/operator/tickets",
+                                   .content_type = "application/yaml",
+                                   .body_file = folder_ + "/ticket-1.yaml"};
+    cli::api_answer answer;
+    require(eventually(start_timeout,
+                       [&]
+                       {
+                           answer = operate(1, request);
+                           return answer.status == 200;
+                       }),
+            "ticket: " + std::to_string(answer.status) + answer.body);
+
+    // Ready, and the model can be reached through each entry.
+    for (int n = 1; n <= options_.entries; ++n)
+        require(
+            eventually(start_timeout,
+                       [&]
+                       {
+                           answer = call(n, {.method = "POST",
+                                             .target = "/v1/chat/completions",
+                                             .content_type = "application/json",
+                                             .body = chat_body("start", 1)});
+                           return answer.status == 200 &&
+                                  answers(entry_port(base_port_, n), "/readyz");
+                       }),
+            "entry not ready: " + answer.body);
+}
+
+void fleet::start(const std::string& name, std::vector<std::string> arguments)
+{
+    processes_.emplace(name, process(arguments, folder_ + "/" + name + ".log"));
+}
+
+void fleet::start_stand_in(const std::string& name, int port,
+                           std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.begin(), {programs + "tanagertrack-standin",
+                                         "--listen", loopback_address(port)});
+    stand_in_ports_[name] = port;
+    start(name, std::move(arguments));
+}
+
+bool fleet::answers(int port, const std::string& path) const
+{
+    return call_port(port, {}, {.target = path}).status == 200;
+}
+
+std::string chat_body(const std::string& content, int tokens, bool stream)
+{
+    json::object message;
+    message["role"] = "user";
+    message["content"] = content;
+    json::object out;
+    out["model"] = "scribi";
+    out["max_tokens"] = tokens;
+    out["messages"] = json::array({message});
+    if (stream)
+        out["stream"] = true;
+    return json::serialize(out);
+}
+
+std::string job_lines(int count, int tokens)
+{
+    std::string out;
+    for (int n = 0; n < count; ++n)
+    {
+        const auto id = std::to_string(n);
+        out += "{\"custom_id\":\"item-" + id +
+               "\",\"method\":\"POST\",\"url\":\"/v1/chat/completions\","
+               "\"body\":" +
+               chat_body("crate " + id, tokens) + "}\n";
+    }
+    return out;
+}
+
+void check_results(const std::multimap<std::string, std::string>& results,
+                   int count, int tokens)
+{
+    BOOST_TEST(results.size() == static_cast<std::size_t>(count));
+    for (int n = 0; n < count; ++n)
+    {
+        const auto id = std::to_string(n);
+        const auto found = results.find("item-" + id);
+        const auto text = standin::answer_text(
+            "crate " + id + "\n", static_cast<std::uint32_t>(tokens));
+        const bool complete =
+            results.count("item-" + id) == 1 &&
+            found->second.find('"' + text + '"') != std::string::npos;
+        if (!complete)
+            BOOST_TEST_ERROR("item-"
+                             << id << " has " << results.count("item-" + id)
+                             << " results or a wrong one: "
+                             << (found == results.end() ? std::string()
+                                                        : found->second));
+    }
+}
+
+} // namespace tanagertrack::test
--- a/test/state/simulation.cpp
+++ b/test/state/simulation.cpp
@@ -364,18 +364,24 @@
         {
             const auto from = static_cast<std::uint32_t>(world_.random(4));
             const auto item = job.next_pending(from);
-            if (item && !job.cancelled() && world_.chance(70))
+            if (item && world_.chance(70))
                 chosen = work_id{job.id(), *item};
         });
-    if (!chosen || running_.contains(*chosen))
+    if (!chosen)
         return;
+    // A second attempt may start while the first one runs or its result is
+    // being recorded, and a second intent is asked for now and then: the
+    // verdicts have to sort this out.
     const auto& job = *state_.find_job(chosen->id);
+    const bool careless = world_.chance(20);
+    if (job.cancelled() && (!careless || is_repeatable(*chosen)))
+        return;
     if (is_repeatable(*chosen))
     {
         if (lease_.may_dispatch(world_.now_) && world_.send(*chosen, claim_))
             running_.insert(*chosen);
     }
-    else if (!job.has_intent(chosen->item))
+    else if (!job.has_intent(chosen->item) || careless)
         write(intent_entry(chosen->id, chosen->item));
     else
         write(result_entry(chosen->id, chosen->item, proto::ITEM_UNKNOWN));
--- a/test/state/simulation.hpp
+++ b/test/state/simulation.hpp
@@ -150,7 +150,7 @@
     std::uint64_t claim_ = 0;
     std::uint64_t sequence_ = 0;
     std::deque<proto::PartitionRecord> plan_;
-    std::set<work_id> running_;
+    std::multiset<work_id> running_;
 };
 
 /// Several holders, the log and one fenced agent, driven by a seed. Checks
