--- a/src/state/config_state.cpp
+++ b/src/state/config_state.cpp
@@ -1,6 +1,7 @@
 #include "state/config_state.hpp"
 
 #include <boost/assert.hpp>
+#include <google/protobuf/arena.h>
 
 #include <algorithm>
 
@@ -12,8 +13,7 @@
 
 using google::protobuf::RepeatedPtrField;
 
-/// Bytes of an object's message beside its texts, an estimate.
-constexpr std::size_t message_bytes = 160;
+constexpr std::size_t arena_block_bytes = 64 * 1024;
 
 const std::string& key_of(const proto::RemovedSpec& spec)
 {
@@ -26,6 +26,19 @@
     return spec.name();
 }
 
+/// Copies a configuration into an arena of its own, which the pointer keeps
+/// alive: the copy takes few allocations and is freed in one go.
+std::shared_ptr<proto::FleetConfig> copy(const proto::FleetConfig& config)
+{
+    google::protobuf::ArenaOptions options;
+    options.max_block_size = arena_block_bytes;
+    auto arena = std::make_shared<google::protobuf::Arena>(options);
+    auto* out =
+        google::protobuf::Arena::CreateMessage<proto::FleetConfig>(arena.get());
+    *out = config;
+    return {std::move(arena), out};
+}
+
 /// First object of a sorted list whose key is not below `key`.
 template<typename List>
 auto lower_bound(List& list, std::string_view key)
@@ -303,13 +316,12 @@
 
 std::size_t config_state::memory_bytes() const
 {
-    const auto objects = current_->targets_size() + current_->models_size() +
-                         current_->services_size() + current_->teams_size() +
-                         current_->removed_size() + current_->accepted_size();
+    // Long texts lie outside the arena; the encoded size stands for them.
+    const auto* arena = current_->GetArena();
     return sizeof(*this) + waiting_bytes_ +
            verdicts_.size() * sizeof(ticket_verdict) +
            current_->ByteSizeLong() +
-           static_cast<std::size_t>(objects) * message_bytes;
+           (arena == nullptr ? 0 : arena->SpaceAllocated());
 }
 
 ticket_verdict config_state::judge(std::uint64_t offset,
@@ -440,7 +452,7 @@
 void config_state::apply_accepted(std::uint64_t offset,
                                   const config::ticket& parsed)
 {
-    auto next = std::make_shared<proto::FleetConfig>(*current_);
+    auto next = copy(*current_);
     next->set_version(offset);
     merge(*next->mutable_targets(), parsed.targets);
     merge(*next->mutable_models(), parsed.models);
@@ -482,7 +494,7 @@
     if (!ahead || config.version() < current_->version())
         return false;
 
-    current_ = std::make_shared<proto::FleetConfig>(config);
+    current_ = copy(config);
     complete_ = true;
     read_through_ = std::max(read_through_, through);
     for (const auto& it : waiting_)
--- a/src/state/job.cpp
+++ b/src/state/job.cpp
@@ -17,6 +17,9 @@
 /// Bits of a packed location that hold the entry's index.
 constexpr unsigned entry_bits = 16;
 
+/// Bytes of the commit's five texts beside their characters, an estimate.
+constexpr std::size_t commit_overhead_bytes = 5 * 64;
+
 std::uint64_t pack(entry_location place)
 {
     BOOST_ASSERT(place.entry < max_entries_per_record);
@@ -163,7 +166,7 @@
 
 std::size_t job::memory_bytes() const
 {
-    return sizeof(*this) + commit_.job_id().capacity() +
+    return sizeof(*this) + commit_overhead_bytes + commit_.job_id().capacity() +
            commit_.intake().capacity() + commit_.team().capacity() +
            commit_.idempotency_key().capacity() +
            commit_.content_hash().capacity() +
