Measure message sizes and the cost of connections

Cause: docs/CAPACITY.md needs bytes and processor time of what flows between processes at rest.

Change: scenarios message_sizes and connection_cost of tanagertrack-bench.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,6 @@
+#include "connection_cost.hpp"
 #include "growth.hpp"
+#include "message_sizes.hpp"
 
 #include <array>
 #include <cstdio>
@@ -18,13 +20,17 @@
 constexpr std::array scenarios{
     scenario{"growth", "memory and time of the states against their size",
              tanagertrack::bench::run_growth},
+    scenario{"message_sizes", "encoded sizes of records and messages",
+             tanagertrack::bench::run_message_sizes},
+    scenario{"connection_cost", "memory and time of idle and busy connections",
+             tanagertrack::bench::run_connection_cost},
 };
 
 int usage()
 {
     std::fprintf(stderr, "usage: tanagertrack-bench SCENARIO [OPTIONS]\n");
     for (const auto& it : scenarios)
-        std::fprintf(stderr, "  %-12.*s %.*s\n",
+        std::fprintf(stderr, "  %-16.*s %.*s\n",
                      static_cast<int>(it.name.size()), it.name.data(),
                      static_cast<int>(it.help.size()), it.help.data());
     return 2;
