--- a/src/config/ticket.cpp
+++ b/src/config/ticket.cpp
@@ -217,8 +217,7 @@
                 errors_.expected(it, key(name), type);
         }
         std::ranges::sort(values);
-        const auto same = std::ranges::unique(values);
-        values.erase(same.begin(), same.end());
+        values.erase(std::unique(values.begin(), values.end()), values.end());
         return values;
     }
 
--- a/src/entry/config_follower.cpp
+++ b/src/entry/config_follower.cpp
@@ -143,11 +143,19 @@
                 if (ec)
                     return;
                 if (state.complete() && state.current()->version() > 0)
-                    submitter.submit(state.make_snapshot());
+                    append_snapshot();
                 schedule_snapshot(4);
             });
     }
 
+    void append_snapshot()
+    {
+        // Room for the record's own fields and the parts' estimates.
+        const auto max_bytes = env.settings.platform.max_record_bytes / 2;
+        for (auto& part : state.make_snapshot(max_bytes))
+            submitter.submit(std::move(part));
+    }
+
     void submit(proto::Ticket ticket, ticket_handler handler)
     {
         // What is refused now would be refused at any later offset too, so
--- a/src/state/config_state.cpp
+++ b/src/state/config_state.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::size_t arena_block_bytes = 64 * 1024;
 
+/// Upper bounds of encoded sizes in a snapshot, with tags and lengths.
+constexpr std::size_t object_overhead_bytes = 6;
+constexpr std::size_t part_overhead_bytes = 128;
+
 const std::string& key_of(const proto::RemovedSpec& spec)
 {
     return spec.object();
@@ -190,6 +194,61 @@
     }
 }
 
+/// Splits a configuration into the parts of a snapshot.
+class snapshot_writer
+{
+public:
+    snapshot_writer(const proto::FleetConfig& config, std::uint64_t through,
+                    std::size_t max_part_bytes)
+        : config_(config), through_(through), max_part_bytes_(max_part_bytes)
+    {
+        BOOST_ASSERT(max_part_bytes >= 1024);
+        start_part();
+    }
+
+    template<typename Spec>
+    void add(const RepeatedPtrField<Spec>& list,
+             Spec* (proto::FleetConfig::*add_to)())
+    {
+        for (const auto& it : list)
+        {
+            const auto bytes = it.ByteSizeLong() + object_overhead_bytes;
+            if (part_bytes_ + bytes > max_part_bytes_)
+                start_part();
+            part_bytes_ += bytes;
+            *(parts_.back().mutable_config()->*add_to)() = it;
+        }
+    }
+
+    std::vector<proto::ConfigSnapshot> finish()
+    {
+        for (auto& it : parts_)
+            it.set_parts(static_cast<std::uint32_t>(parts_.size()));
+        return std::move(parts_);
+    }
+
+private:
+    void start_part()
+    {
+        const auto number = static_cast<std::uint32_t>(parts_.size());
+        auto& part = parts_.emplace_back();
+        part.set_part(number);
+        part.set_through_offset(through_);
+        part.mutable_config()->set_version(config_.version());
+        part.mutable_config()->set_removed_floor(config_.removed_floor());
+        part.mutable_config()->set_accepted_floor(config_.accepted_floor());
+        part_bytes_ = part_overhead_bytes;
+    }
+
+    const proto::FleetConfig& config_;
+    std::uint64_t through_;
+    std::size_t max_part_bytes_;
+    std::vector<proto::ConfigSnapshot> parts_;
+
+    /// Bytes of the last part, an upper estimate.
+    std::size_t part_bytes_ = 0;
+};
+
 std::string join(const std::vector<config::setting_error>& errors)
 {
     // Enough for an operator to start with; a verdict stays small.
@@ -261,8 +320,7 @@
     read_through_ = offset;
 
     if (record.has_snapshot())
-        adopt(record.snapshot().config(), record.snapshot().through_offset(),
-              verdicts);
+        apply_snapshot(record.writer(), record.snapshot(), verdicts);
     else if (record.has_ticket() && complete_)
         verdicts.push_back(apply_ticket(offset, record.ticket()));
     else if (record.has_ticket())
@@ -305,13 +363,18 @@
     return *found;
 }
 
-proto::ConfigSnapshot config_state::make_snapshot() const
+std::vector<proto::ConfigSnapshot>
+config_state::make_snapshot(std::size_t max_part_bytes) const
 {
     BOOST_ASSERT(complete_);
-    proto::ConfigSnapshot out;
-    out.set_through_offset(read_through_);
-    *out.mutable_config() = *current_;
-    return out;
+    snapshot_writer writer(*current_, read_through_, max_part_bytes);
+    writer.add(current_->targets(), &proto::FleetConfig::add_targets);
+    writer.add(current_->models(), &proto::FleetConfig::add_models);
+    writer.add(current_->services(), &proto::FleetConfig::add_services);
+    writer.add(current_->teams(), &proto::FleetConfig::add_teams);
+    writer.add(current_->removed(), &proto::FleetConfig::add_removed);
+    writer.add(current_->accepted(), &proto::FleetConfig::add_accepted);
+    return writer.finish();
 }
 
 std::size_t config_state::memory_bytes() const
@@ -485,6 +548,31 @@
     current_ = std::move(next);
 }
 
+void config_state::apply_snapshot(const std::string& writer,
+                                  const proto::ConfigSnapshot& part,
+                                  std::vector<ticket_verdict>& verdicts)
+{
+    // A complete state has read everything that the snapshot covers.
+    if (complete_)
+        return;
+    if (part.part() == 0)
+        progress_ = {writer, {}, 0};
+    auto& sum = progress_.parts;
+    const bool expected =
+        part.part() == progress_.next_part && writer == progress_.writer &&
+        (part.part() == 0 || part.through_offset() == sum.through_offset());
+    if (!expected ||
+        sum.ByteSizeLong() + part.ByteSizeLong() > limits_.max_waiting_bytes)
+        return;
+
+    sum.MergeFrom(part);
+    ++progress_.next_part;
+    if (progress_.next_part < part.parts())
+        return;
+    adopt(sum.config(), sum.through_offset(), verdicts);
+    progress_ = {};
+}
+
 bool config_state::adopt(const proto::FleetConfig& config,
                          std::uint64_t through,
                          std::vector<ticket_verdict>& verdicts)
--- a/src/state/config_state.hpp
+++ b/src/state/config_state.hpp
@@ -94,8 +94,9 @@
 /// Removing a model that targets still name is allowed: the targets keep the
 /// name and serve it again when it returns.
 ///
-/// Writer and sequence of a record don't matter: a ticket that was appended
-/// twice is the same ticket.
+/// A ticket that was appended twice is the same ticket. Of a snapshot's parts,
+/// those of one writer are put together; a part that is not the next one is
+/// ignored, and part 0 starts again.
 ///
 /// A state that starts above offset 1, or finds a gap, is not complete: it
 /// keeps the last configuration, holds back the tickets that follow (bounded)
@@ -141,14 +142,25 @@
     /// latest; nothing when it is not known (any more).
     std::optional<ticket_verdict> find_verdict(std::uint64_t number) const;
 
-    /// Snapshot record of the current configuration, for the log. The state
-    /// is complete.
-    proto::ConfigSnapshot make_snapshot() const;
+    /// Snapshot of the current configuration for the log, in parts of at most
+    /// about `max_part_bytes` (at least 1024), to be appended in this order by
+    /// one writer; other records may stand between them. The state is
+    /// complete.
+    std::vector<proto::ConfigSnapshot>
+    make_snapshot(std::size_t max_part_bytes) const;
 
     /// Bytes of memory held, an estimate.
     std::size_t memory_bytes() const;
 
 private:
+    /// Parts of a snapshot read so far.
+    struct snapshot_progress
+    {
+        std::string writer;
+        proto::ConfigSnapshot parts;
+        std::uint32_t next_part = 0;
+    };
+
     struct waiting_ticket
     {
         std::uint64_t offset = 0;
@@ -169,6 +181,9 @@
     ticket_verdict apply_ticket(std::uint64_t offset,
                                 const proto::Ticket& record);
     void apply_accepted(std::uint64_t offset, const config::ticket& parsed);
+    void apply_snapshot(const std::string& writer,
+                        const proto::ConfigSnapshot& part,
+                        std::vector<ticket_verdict>& verdicts);
     bool adopt(const proto::FleetConfig& config, std::uint64_t through,
                std::vector<ticket_verdict>& verdicts);
     void hold_back(std::uint64_t offset, const proto::Ticket& record);
@@ -183,6 +198,7 @@
     std::uint64_t waiting_from_ = 0;
     std::deque<waiting_ticket> waiting_;
     std::size_t waiting_bytes_ = 0;
+    snapshot_progress progress_;
     std::deque<ticket_verdict> verdicts_;
 };
 
--- a/test/state/simulation.hpp
+++ b/test/state/simulation.hpp
@@ -15,6 +15,7 @@
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace tanagertrack::test
@@ -91,7 +92,11 @@
     std::uint32_t item = 0;
     bool call = false;
 
-    auto operator<=>(const work_id&) const = default;
+    bool operator<(const work_id& other) const
+    {
+        return std::tie(id, item, call) <
+               std::tie(other.id, other.item, other.call);
+    }
 };
 
 class simulation;
--- a/test/state/test_config_state.cpp
+++ b/test/state/test_config_state.cpp
@@ -164,10 +164,10 @@
     const auto second = ticket_record(2, "models: [{name: b}]\n");
     const auto third = ticket_record(3, "models: [{name: c}]\n");
     proto::ConfigRecord early;
-    *early.mutable_snapshot() = state.make_snapshot();
+    *early.mutable_snapshot() = state.make_snapshot(4096)[0];
     state.apply(2, second);
     proto::ConfigRecord snapshot;
-    *snapshot.mutable_snapshot() = state.make_snapshot();
+    *snapshot.mutable_snapshot() = state.make_snapshot(4096)[0];
     state.apply(3, third);
     state.apply(4, early);
     state.apply(5, snapshot);
@@ -186,6 +186,42 @@
     BOOST_TEST(bytes_of(late) == bytes_of(state));
 }
 
+// Guards against a configuration that is larger than a record and lost when
+// its tickets expire.
+BOOST_AUTO_TEST_CASE(a_large_snapshot_comes_in_parts)
+{
+    for (std::uint64_t i = 1; i <= 50; ++i)
+        add(i, "models: [{name: model-" + std::to_string(i) + "}]\n");
+    auto parts = state.make_snapshot(1024);
+    BOOST_REQUIRE(parts.size() > 2);
+    config_state late;
+    auto offset = state.read_through();
+    const auto append =
+        [&](const std::string& writer, const proto::ConfigSnapshot& part)
+    {
+        BOOST_TEST(part.ByteSizeLong() <= 1024);
+        proto::ConfigRecord record;
+        record.set_writer(writer);
+        *record.mutable_snapshot() = part;
+        late.apply(++offset, record);
+        state.apply(offset, record);
+    };
+    append("b", parts[1]);
+    append("a", parts[0]);
+    append("b", parts[1]);
+    for (std::size_t i = 1; i < parts.size(); ++i)
+    {
+        BOOST_TEST(!late.complete());
+        append("a", parts[i]);
+        append("a", parts[1]);
+        const auto ticket = ticket_record(100 + i, "models: [{name: late}]\n");
+        late.apply(++offset, ticket);
+        state.apply(offset, ticket);
+    }
+    BOOST_TEST(late.complete());
+    BOOST_TEST(bytes_of(late) == bytes_of(state));
+}
+
 BOOST_AUTO_TEST_CASE(a_peers_configuration_is_taken_only_when_ahead)
 {
     add(1, "models: [{name: a}]\n");
@@ -229,7 +265,7 @@
         {
             proto::ConfigRecord record;
             if (random() % 6 == 0)
-                *record.mutable_snapshot() = full.make_snapshot();
+                *record.mutable_snapshot() = full.make_snapshot(4096)[0];
             else
             {
                 const std::string name(1, "abcd"[random() % 4]);
