--- a/src/http/http_exchange.cpp
+++ b/src/http/http_exchange.cpp
@@ -3,7 +3,7 @@
 #include "http/http_session.hpp"
 #include "http/request_state.hpp"
 
-#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 
 #include <utility>
 
@@ -69,10 +69,15 @@
 template<typename Function>
 void http_exchange::on_session(Function function)
 {
-    boost::asio::dispatch(session_->executor(),
-                          [session = session_, state = state_,
-                           function = std::move(function)]() mutable
-                          { function(*session, *state); });
+    if (session_->is_detached())
+        return;
+
+    // Always queued: a call that ran at once on the server's thread could
+    // overtake an earlier one from another thread.
+    boost::asio::post(session_->executor(),
+                      [session = session_, state = state_,
+                       function = std::move(function)]() mutable
+                      { function(*session, *state); });
 }
 
 void http_exchange::run_handlers_with(handler_runner runner)
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -71,6 +71,7 @@
 
     void close_all()
     {
+        *detached_ = true;
         stop_accepting();
         for (auto* it : sessions_)
             it->close();
@@ -119,7 +120,8 @@
         // The session keeps this object alive, because it uses the settings.
         auto session = std::make_shared<http_session>(
             std::move(socket), settings_, handler_,
-            [self = shared_from_this()](http_session* it) { self->drop(it); });
+            [self = shared_from_this()](http_session* it) { self->drop(it); },
+            detached_);
         sessions_.insert(session.get());
         count_.store(sessions_.size());
         asio::co_spawn(context_, session->run(), asio::detached);
@@ -137,6 +139,8 @@
     tcp::acceptor acceptor_;
     std::unordered_set<http_session*> sessions_;
     std::atomic<std::size_t> count_{0};
+    http_session::detached_flag detached_ =
+        std::make_shared<std::atomic<bool>>(false);
 };
 
 http_server::http_server(asio::io_context& context, http_settings settings,
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -72,10 +72,11 @@
 http_session::http_session(asio::ip::tcp::socket socket,
                            const http_settings& settings,
                            request_handler handler,
-                           std::function<void(http_session*)> closed)
+                           std::function<void(http_session*)> closed,
+                           detached_flag detached)
     : stream_(std::move(socket)), settings_(settings),
       handler_(std::move(handler)), closed_(std::move(closed)),
-      wake_(stream_.get_executor()),
+      detached_(std::move(detached)), wake_(stream_.get_executor()),
       buffer_(settings.max_header_bytes + piece_bytes)
 {
 }
@@ -112,7 +113,10 @@
         if (broken_ || !keep_alive_ || unread)
             break;
         parser_.reset();
-        buffer_.shrink_to_fit();
+
+        // A read that is under way uses the buffer's memory.
+        if (!monitoring_)
+            buffer_.shrink_to_fit();
     }
     stream_.close();
     closed_(this);
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,10 +31,15 @@
 public:
     using request_handler = std::function<void(http_exchange_ptr)>;
 
+    /// Set when the server is gone: its context may be destroyed from then
+    /// on, and calls of exchanges are dropped.
+    using detached_flag = std::shared_ptr<std::atomic<bool>>;
+
     /// `settings` outlives the session. `closed` is called at the end.
     http_session(boost::asio::ip::tcp::socket socket,
                  const http_settings& settings, request_handler handler,
-                 std::function<void(http_session*)> closed);
+                 std::function<void(http_session*)> closed,
+                 detached_flag detached);
 
     /// Serves until the connection ends.
     boost::asio::awaitable<void> run();
@@ -43,6 +49,12 @@
 
     boost::asio::any_io_executor executor();
 
+    /// Whether the server is gone. Any thread.
+    bool is_detached() const
+    {
+        return *detached_;
+    }
+
     /// Takes a call of an exchange.
     void read_body(request_state& state, http_exchange::body_handler handler);
     void add_step(request_state& state, answer_step step);
@@ -76,6 +88,7 @@
     const http_settings& settings_;
     request_handler handler_;
     std::function<void(http_session*)> closed_;
+    detached_flag detached_;
     boost::asio::steady_timer wake_;
     boost::beast::flat_buffer buffer_;
 
--- a/test/entry/entry_fixture.hpp
+++ b/test/entry/entry_fixture.hpp
@@ -18,19 +18,29 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace tanagertrack::test
 {
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago, below those that the system gives to
+/// outgoing connections.
 inline std::uint16_t free_port()
 {
     using boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    const tcp::acceptor probe(
-        context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return probe.local_endpoint().port();
+    static unsigned next = 20000 + static_cast<unsigned>(getpid()) % 8000;
+    for (;;)
+    {
+        const tcp::endpoint at(boost::asio::ip::address_v4::loopback(),
+                               static_cast<std::uint16_t>(++next));
+        boost::asio::io_context context;
+        tcp::acceptor probe(context, at.protocol());
+        boost::system::error_code ec;
+        probe.bind(at, ec);
+        if (!ec)
+            return at.port();
+    }
 }
 
 /// Waits until `condition` holds; fails the test after 20 s.
