--- a/src/entry/async_call.hpp
+++ b/src/entry/async_call.hpp
@@ -3,6 +3,7 @@
 
 #include "common/clock.hpp"
 #include "entry/exchange.hpp"
+#include "entry/record_cache.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/async_result.hpp>
@@ -14,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -125,6 +127,28 @@
         { request->write(std::move(data), std::move(done)); });
 }
 
+/// A record of the log, or why there is none.
+struct loaded_record
+{
+    std::error_code ec;
+    record_cache::record_ptr record;
+};
+
+/// Gets a record from the cache or the log. The cache outlives the call.
+inline boost::asio::awaitable<loaded_record>
+load_record(record_cache& cache, std::uint32_t partition, std::uint64_t offset)
+{
+    return await_call<loaded_record>(
+        [&cache, partition, offset](std::function<void(loaded_record)> done)
+        {
+            cache.load(
+                partition, offset,
+                [done](std::error_code ec, record_cache::record_ptr record) {
+                    done({ec, std::move(record)});
+                });
+        });
+}
+
 } // namespace tanagertrack::entry
 
 #endif
--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -121,15 +121,15 @@
 
 void batch_core::check_stopped()
 {
-    if (!stopped_)
+    if (!stopped_ || stop_told_)
         return;
     for (const auto& it : owners_)
         if (it->phase() != owner_phase::idle)
             return;
-    // Once only, and not within a hook of an owner.
-    boost::asio::post(parts_.context, [self = shared_from_this(),
-                                       stopped = std::exchange(stopped_, [] {})]
-                      { stopped(); });
+    stop_told_ = true;
+    // Not within a hook of an owner.
+    boost::asio::post(parts_.context, [self = shared_from_this()]
+                      { self->control_->say_farewell(self->stopped_); });
 }
 
 void batch_core::note_held(std::uint32_t partition)
--- a/src/entry/batch_core.hpp
+++ b/src/entry/batch_core.hpp
@@ -139,6 +139,7 @@
     std::unique_ptr<dispatcher> dispatcher_;
     std::shared_ptr<const fleet_index> fleet_;
     std::function<void()> stopped_;
+    bool stop_told_ = false;
 };
 
 } // namespace tanagertrack::entry
--- a/src/entry/control_follower.cpp
+++ b/src/entry/control_follower.cpp
@@ -375,11 +375,30 @@
         std::string(control_stream), record.SerializeAsString(),
         [this, alive = std::weak_ptr(alive_)](std::error_code ec, std::uint64_t)
         {
-            if (alive.expired())
-                return;
-            beat_in_flight_ = false;
-            beat_failed_ = static_cast<bool>(ec);
+            if (!alive.expired())
+                finish_beat(ec);
         });
 }
 
+void control_follower::finish_beat(std::error_code ec)
+{
+    beat_in_flight_ = false;
+    beat_failed_ = static_cast<bool>(ec);
+    if (!farewell_)
+        return;
+    // The heartbeat that was under way may still have named partitions.
+    if (std::exchange(beat_wanted_, false))
+        send_beat(common::clock::now());
+    else
+        std::exchange(farewell_, nullptr)();
+}
+
+void control_follower::say_farewell(std::function<void()> written)
+{
+    farewell_ = std::move(written);
+    beat_wanted_ = beat_in_flight_;
+    if (!beat_in_flight_)
+        send_beat(common::clock::now());
+}
+
 } // namespace tanagertrack::entry
--- a/src/entry/control_follower.hpp
+++ b/src/entry/control_follower.hpp
@@ -54,6 +54,10 @@
     /// Releases all partitions and claims none from now on.
     void leave();
 
+    /// Writes a last heartbeat, which shows that no partition is held, and
+    /// calls `written` whether it was appended or not.
+    void say_farewell(std::function<void()> written);
+
     /// Whether the lease that heartbeats prove has not ended.
     bool has_lease() const;
 
@@ -105,6 +109,7 @@
     bool wants_partitions(common::time_point now) const;
     void beat_if_due(common::time_point now);
     void send_beat(common::time_point now);
+    void finish_beat(std::error_code ec);
 
     boost::asio::io_context& context_;
     platform::log_service& log_;
@@ -137,6 +142,7 @@
     common::time_point lease_end_ = common::time_point::min();
     common::time_point last_release_;
     bool leaving_ = false;
+    std::function<void()> farewell_;
 
     /// Expires with this object; guards answers that are on their way.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -644,13 +644,11 @@
     const auto status = outcome.http_status();
     if (status >= 400)
     {
-        const bool again = is_transient(status) && !it.not_repeatable;
-        if (!again)
-            it.attempts = std::max(it.attempts, settings_.max_attempts);
+        const bool final = !is_transient(status) || it.not_repeatable;
         const auto code = is_transient(status) ? result_code::target_failed
                                                : result_code::target_rejected;
-        fail_attempt(run, std::move(it), end, number(code), status,
-                     outcome.body());
+        fail_attempt(run, std::move(it), end,
+                     {number(code), status, outcome.body(), final});
         return;
     }
     proto::ItemResult result;
@@ -678,12 +676,11 @@
         return;
     }
     ++it.attempts;
-    if (outcome.permanent())
-        it.attempts = std::max(it.attempts, settings_.max_attempts);
     const auto code = outcome.code() != 0 ? outcome.code()
                                           : number(result_code::target_failed);
-    fail_attempt(run, std::move(it), end, code, outcome.http_status(),
-                 outcome.body());
+    fail_attempt(
+        run, std::move(it), end,
+        {code, outcome.http_status(), outcome.body(), outcome.permanent()});
 }
 
 void dispatcher::take_outcome(job_run& run, item_run it, const attempt_end& end,
@@ -708,9 +705,8 @@
 {
     if (is_request_error(outcome.code()))
     {
-        it.attempts = std::max(it.attempts + 1, settings_.max_attempts);
-        fail_attempt(run, std::move(it), end, outcome.code(), 0,
-                     outcome.message());
+        fail_attempt(run, std::move(it), end,
+                     {outcome.code(), 0, outcome.message(), true});
         return;
     }
     const std::chrono::milliseconds wanted(outcome.retry_after_ms());
@@ -727,10 +723,9 @@
 }
 
 void dispatcher::fail_attempt(job_run& run, item_run it, const attempt_end& end,
-                              std::uint32_t code, std::uint32_t http_status,
-                              const std::string& body)
+                              const failure& why)
 {
-    if (it.attempts < settings_.max_attempts)
+    if (!why.final && it.attempts < settings_.max_attempts)
     {
         it.excluded.push_back(end.target);
         const auto delay = retry_delay * it.attempts;
@@ -739,9 +734,9 @@
     }
     proto::ItemResult result;
     result.set_status(proto::ITEM_FAILED);
-    result.set_code(code);
-    result.set_http_status(http_status);
-    result.set_body(body.substr(0, max_reason_bytes));
+    result.set_code(why.code);
+    result.set_http_status(why.http_status);
+    result.set_body(why.body.substr(0, max_reason_bytes));
     result.set_target(end.target);
     record_result(run, it, std::move(result));
 }
--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -123,6 +123,17 @@
         work_gate::ticket ticket = 0;
     };
 
+    /// Why an attempt failed.
+    struct failure
+    {
+        std::uint32_t code = 0;
+        std::uint32_t http_status = 0;
+        std::string body;
+
+        /// Another attempt would fail the same way.
+        bool final = false;
+    };
+
     /// A job with items that are not finished.
     struct job_run
     {
@@ -203,8 +214,7 @@
     void take_outcome(job_run& run, item_run it, const attempt_end& end,
                       const no_target_now& outcome);
     void fail_attempt(job_run& run, item_run it, const attempt_end& end,
-                      std::uint32_t code, std::uint32_t http_status,
-                      const std::string& body);
+                      const failure& why);
     void retry_later(job_run& run, item_run it,
                      std::chrono::milliseconds delay);
     void release_item(job_run& run);
--- a/src/entry/job_answers.cpp
+++ b/src/entry/job_answers.cpp
@@ -30,6 +30,11 @@
 
 constexpr std::uint64_t ms_per_s = 1000;
 
+json::string json_text(std::string_view text)
+{
+    return json::string(text.data(), text.size());
+}
+
 /// An answer's body as JSON if it is JSON, as a text otherwise.
 json::value answer_value(const std::string& body)
 {
@@ -44,9 +49,9 @@
     const auto& row = common::info(static_cast<result_code>(number));
     json::object it;
     it["code"] = number;
-    it["name"] = {row.name.data(), row.name.size()};
-    it["message"] = {row.text.data(), row.text.size()};
-    it["execution"] = {ran.data(), ran.size()};
+    it["name"] = json_text(row.name);
+    it["message"] = json_text(row.text);
+    it["execution"] = json_text(ran);
     if (!detail.empty())
         it["detail"] = answer_value(detail);
     return it;
@@ -116,24 +121,7 @@
     asio::awaitable<record_cache::record_ptr> load(std::uint64_t offset,
                                                    std::error_code& ec)
     {
-        struct loaded
-        {
-            std::error_code ec;
-            record_cache::record_ptr record;
-        };
-        auto record = core_->cache().find(partition_, offset);
-        if (record)
-            co_return record;
-        auto it = co_await await_call<loaded>(
-            [&](std::function<void(loaded)> done)
-            {
-                core_->cache().load(
-                    partition_, offset,
-                    [done](std::error_code load_ec,
-                           record_cache::record_ptr loaded_record) {
-                        done({load_ec, std::move(loaded_record)});
-                    });
-            });
+        auto it = co_await load_record(core_->cache(), partition_, offset);
         ec = it.ec;
         co_return it.record;
     }
@@ -224,7 +212,7 @@
     json::object it;
     it["id"] = job.id();
     it["object"] = "batch";
-    it["status"] = {status.data(), status.size()};
+    it["status"] = json_text(status);
     it["request_counts"] = {{"total", job.item_count()},
                             {"completed", counts.succeeded},
                             {"failed", counts.failed},
--- a/src/entry/job_intake.cpp
+++ b/src/entry/job_intake.cpp
@@ -67,7 +67,14 @@
     if (!why)
         why = co_await read_body();
     if (!why && !caller_gone_)
-        why = known_ ? judge_commit() : co_await commit();
+    {
+        // Not a conditional expression: GCC 12 copies its temporaries wrongly
+        // across a suspension.
+        if (known_)
+            why = judge_commit();
+        else
+            why = co_await commit();
+    }
     if (caller_gone_)
         co_return;
     if (why)
@@ -143,13 +150,15 @@
         if (!whole)
             break;
         piece.remove_prefix(n + 1);
-        auto why = co_await take_line(std::exchange(line_, {}));
+        auto line = std::exchange(line_, {});
+        auto why = co_await take_line(std::move(line));
         if (why)
             co_return why;
     }
     if (!end)
         co_return std::nullopt;
-    co_return co_await take_line(std::exchange(line_, {}));
+    auto line = std::exchange(line_, {});
+    co_return co_await take_line(std::move(line));
 }
 
 asio::awaitable<job_intake::result> job_intake::take_line(std::string line)
--- a/src/entry/once_calls.cpp
+++ b/src/entry/once_calls.cpp
@@ -159,20 +159,8 @@
     if (place.offset == 0)
         co_return rejected<call_answer>(request, result_code::outcome_unknown,
                                         execution::may_have_run);
-    struct loaded
-    {
-        std::error_code ec;
-        record_cache::record_ptr record;
-    };
-    auto got = co_await await_call<loaded>(
-        [&](std::function<void(loaded)> done)
-        {
-            core_->cache().load(
-                it.id.partition, place.offset,
-                [done](std::error_code ec, record_cache::record_ptr record) {
-                    done({ec, std::move(record)});
-                });
-        });
+    auto got =
+        co_await load_record(core_->cache(), it.id.partition, place.offset);
     if (got.ec)
         co_return rejected<call_answer>(
             request, result_code::log_unavailable, execution::may_have_run,
--- a/test/entry/fake_log.hpp
+++ b/test/entry/fake_log.hpp
@@ -6,9 +6,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,6 +60,9 @@
     {
         platform::log_read_request request;
         platform::log_read_handler handler;
+
+        /// Ends the wait.
+        std::shared_ptr<boost::asio::steady_timer> timer;
     };
 
     struct stream_state
@@ -113,12 +119,33 @@
                 break;
         }
         if (result.records.empty() && request.wait.count() > 0)
-            stream.waiting.push_back({std::move(request), std::move(handler)});
+            wait(stream, std::move(request), std::move(handler));
         else
             post([handler, result = std::move(result)]
                  { handler({}, result); });
     }
 
+    void wait(stream_state& stream, platform::log_read_request request,
+              platform::log_read_handler handler)
+    {
+        const auto timer =
+            std::make_shared<boost::asio::steady_timer>(context_, request.wait);
+        request.wait = std::chrono::milliseconds(0);
+        stream.waiting.push_back({request, handler, timer});
+        timer->async_wait(
+            [this, request, timer](boost::system::error_code ec)
+            {
+                auto& waiting = streams_[request.stream].waiting;
+                const auto it =
+                    std::ranges::find(waiting, timer, &waiting_read::timer);
+                if (ec || it == waiting.end())
+                    return;
+                auto expired = std::move(*it);
+                waiting.erase(it);
+                read(std::move(expired.request), std::move(expired.handler));
+            });
+    }
+
     template<typename Task>
     void post(Task task)
     {
