--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,35 +1,73 @@
 #include "agent_admission.hpp"
+#include "connection_cost.hpp"
+#include "growth.hpp"
+#include "message_sizes.hpp"
 #include "transport_cost.hpp"
 
-#include "common/logging.hpp"
-
+#include <array>
 #include <cstdio>
-#include <functional>
-#include <map>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
+namespace
+{
+
+using span_run = int (*)(std::span<const std::string>);
+
+/// Passes the options to a scenario that takes them as a span.
+template<span_run Run>
+int with_span(int argc, char** argv)
+{
+    const std::vector<std::string> options(argv + 1, argv + argc);
+    return Run(options);
+}
+
+/// A measurement that can be run by name.
+struct scenario
+{
+    std::string_view name;
+    std::string_view help;
+    int (*run)(int argc, char** argv);
+};
+
+constexpr std::array scenarios{
+    scenario{"growth", "memory and time of the states against their size",
+             tanagertrack::bench::run_growth},
+    scenario{"message_sizes", "encoded sizes of records and messages",
+             tanagertrack::bench::run_message_sizes},
+    scenario{"connection_cost", "memory and time of idle and busy connections",
+             tanagertrack::bench::run_connection_cost},
+    scenario{"transport_cost", "round trips and messages on one connection",
+             with_span<tanagertrack::bench::run_transport_cost>},
+    scenario{"agent_path", "latency that an agent adds to its engine",
+             with_span<tanagertrack::bench::run_agent_path>},
+    scenario{"agent_admission", "online latency beside batch at one agent",
+             with_span<tanagertrack::bench::run_agent_admission>},
+};
+
+int usage()
+{
+    std::fprintf(stderr, "usage: tanagertrack-bench SCENARIO [OPTIONS]\n");
+    for (const auto& it : scenarios)
+        std::fprintf(stderr, "  %-16.*s %.*s\n",
+                     static_cast<int>(it.name.size()), it.name.data(),
+                     static_cast<int>(it.help.size()), it.help.data());
+    return 2;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
-    using namespace tanagertrack;
-    using scenario = std::function<int(std::span<const std::string>)>;
-
-    const std::map<std::string, scenario> scenarios = {
-        {"transport_cost", bench::run_transport_cost},
-        {"agent_admission", bench::run_agent_admission},
-        {"agent_path", bench::run_agent_path},
-    };
-    common::init_logging(argv[0]);
-    const std::vector<std::string> arguments(argv + 1, argv + argc);
-    const auto it =
-        arguments.empty() ? scenarios.end() : scenarios.find(arguments.front());
-    if (it == scenarios.end())
+    if (argc < 2)
+        return usage();
+    for (const auto& it : scenarios)
     {
-        std::fputs("usage: tanagertrack-bench SCENARIO [OPTION VALUE]...\n",
-                   stderr);
-        for (const auto& [name, run] : scenarios)
-            std::fprintf(stderr, "  %s\n", name.c_str());
-        return 2;
+        // The scenario's name takes the place of the program's.
+        if (it.name == argv[1])
+            return it.run(argc - 1, argv + 1);
     }
-    return it->second(std::span(arguments).subspan(1));
+    return usage();
 }
