Test the whole path with real processes under faults

Cause: the parts are tested alone; what the system promises depends on all of them, on lost answers and on killed processes.

The fixture keeps the output of the processes also when a test ends with an exception.

Ruled out: fixed pauses; each step waits for a condition with a deadline.

--- a/test/integration/fleet.cpp
+++ b/test/integration/fleet.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -87,7 +88,8 @@
     processes_.clear();
     using namespace boost::unit_test;
     const auto id = framework::current_test_case().p_id;
-    if (results_collector.results(id).p_assertions_failed == 0)
+    if (results_collector.results(id).p_assertions_failed == 0 &&
+        std::uncaught_exceptions() == 0)
         std::filesystem::remove_all(folder_);
     else
         BOOST_TEST_MESSAGE("output of the processes: " << folder_);
--- /dev/null
+++ b/test/integration/test_online.cpp
@@ -0,0 +1,114 @@
+#include "integration/eventually.hpp"
+#include "integration/fleet.hpp"
+#include "standin/answer_text.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+namespace json = boost::json;
+using namespace tanagertrack;
+using namespace tanagertrack::test;
+
+namespace
+{
+
+/// The text in the chunks of a streamed answer; empty without "[DONE]".
+std::string streamed_text(const std::string& body)
+{
+    std::string out;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (!line.starts_with("data: "))
+            continue;
+        const auto data = line.substr(6);
+        if (data.starts_with("[DONE]"))
+            return out;
+        const auto chunk = json::parse(data);
+        const auto& choice = chunk.at("choices").at(0).as_object();
+        if (const auto* it =
+                choice.at("delta").as_object().if_contains("content"))
+            out += it->as_string();
+    }
+    return {};
+}
+
+/// A call to the service that may not be repeated.
+cli::api_request manifest(const std::string& key)
+{
+    return {.method = "POST",
+            .target = "/v1/services/carico/manifests",
+            .content_type = "application/json",
+            .idempotency_key = key,
+            .body = R"({"crate":7})"};
+}
+
+/// Repeats a call while it is rejected as not run, as callers do.
+cli::api_answer call_until_run(const fleet& it, int entry,
+                               const cli::api_request& request)
+{
+    cli::api_answer answer;
+    eventually(std::chrono::seconds(20),
+               [&]
+               {
+                   answer = it.call(entry, request);
+                   return answer.status != 503;
+               });
+    return answer;
+}
+
+std::string execution_of(const cli::api_answer& answer)
+{
+    json::error_code ec;
+    const auto body = json::parse(answer.body, ec);
+    if (ec)
+        return "no JSON: " + answer.body;
+    return std::string(body.at("error").at("execution").as_string());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(online)
+
+// Guards against lost, repeated or foreign pieces of a streamed answer.
+BOOST_AUTO_TEST_CASE(streamed_answer_is_complete)
+{
+    fleet it({});
+    const auto answer = it.call(1, {.method = "POST",
+                                    .target = "/v1/chat/completions",
+                                    .content_type = "application/json",
+                                    .body = chat_body("ciao", 50, true)});
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(streamed_text(answer.body) ==
+               standin::answer_text("ciao\n", 50));
+}
+
+// Guards against a second execution of a call that may not be repeated, when
+// its answer is lost and the caller sends it again through another entry.
+BOOST_AUTO_TEST_CASE(call_with_lost_answer_is_executed_once)
+{
+    fleet it({.services = 1});
+
+    const auto answer = call_until_run(it, 1, manifest("key-0"));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(it.seen("service-1").at("executions") == 1);
+
+    it.fault("service-1", R"({"drop_answers":1})");
+    const auto first = call_until_run(it, 1, manifest("key-1"));
+    BOOST_TEST(first.status >= 500);
+    BOOST_TEST(execution_of(first) == "may_have_run");
+    const auto second = it.call(2, manifest("key-1"));
+    BOOST_TEST(second.status >= 500);
+    BOOST_TEST(execution_of(second) == "may_have_run");
+    BOOST_TEST(it.seen("service-1").at("executions") == 2);
+
+    // The recorded outcome is given again without another execution.
+    const auto again = it.call(2, manifest("key-0"));
+    BOOST_TEST(again.status == 200);
+    BOOST_TEST(again.body == answer.body);
+    BOOST_TEST(it.seen("service-1").at("executions") == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
