Refuse damaged checkpoints before they take effect

A checkpoint whose commit names too many items was refused only after the item table had been allocated, and one without all chunks of a job was taken. Both are now refused. A test applies 40,000 records with damaged bytes to a live and to a starting state.

--- a/src/state/partition_state.cpp
+++ b/src/state/partition_state.cpp
@@ -414,7 +414,7 @@
     const bool expected = checkpoint_ &&
                           part->part() == checkpoint_->next_part &&
                           record.writer() == claim_.writer;
-    if (!expected || !load_part(*part))
+    if (!expected || !load_part(*part) || (part->last() && !is_loaded()))
     {
         clear();
         return record_verdict::skipped;
@@ -662,6 +662,12 @@
         notify(hooks.on_outcome, outcome);
 }
 
+bool partition_state::is_loaded() const
+{
+    return std::ranges::all_of(jobs_, [](const job_map::value_type& it)
+                               { return it.second.is_covered(); });
+}
+
 bool partition_state::load_part(const proto::Checkpoint& part)
 {
     for (const auto& index : part.jobs())
@@ -691,13 +697,16 @@
 bool partition_state::load_job(const proto::JobIndex& index)
 {
     // Only the first piece of a job has the whole commit.
-    if (index.commit().item_count() != 0)
+    const auto& commit = index.commit();
+    if (commit.item_count() > limits_.max_items_per_job ||
+        jobs_.size() > limits_.max_jobs)
+        return false;
+    if (commit.item_count() != 0)
     {
-        const auto [added, inserted] = jobs_.try_emplace(
-            index.commit().job_id(), index.commit(), index.accepted_offset(),
-            std::vector<chunk_location>());
-        if (!inserted ||
-            index.commit().item_count() > limits_.max_items_per_job)
+        const auto [added, inserted] =
+            jobs_.try_emplace(commit.job_id(), commit, index.accepted_offset(),
+                              std::vector<chunk_location>());
+        if (!inserted)
             return false;
         if (index.cancelled())
             added->second.cancel();
--- a/src/state/partition_state.hpp
+++ b/src/state/partition_state.hpp
@@ -263,6 +263,7 @@
                        const partition_hooks& hooks);
     void follow_checkpoint(std::uint64_t offset, const proto::Checkpoint& part,
                            const partition_hooks& hooks);
+    bool is_loaded() const;
     bool load_part(const proto::Checkpoint& part);
     bool load_job(const proto::JobIndex& index);
     bool load_items(const proto::JobIndex& index, job& owner);
--- a/test/state/test_partition_state.cpp
+++ b/test/state/test_partition_state.cpp
@@ -3,6 +3,7 @@
 #include "records.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <google/protobuf/stubs/logging.h>
 
 #include <random>
 
@@ -419,4 +420,52 @@
     BOOST_TEST(state.claim().offset == 0);
 }
 
+// Guards against a crash of every entry by a record that is damaged or was
+// written by a faulty version.
+BOOST_AUTO_TEST_CASE(damaged_records_do_no_harm)
+{
+    std::vector<std::string> samples;
+    const auto keep = [&](proto::PartitionRecord value)
+    {
+        append(value);
+        value.set_sequence(0);
+        samples.push_back(value.SerializeAsString());
+    };
+    keep(record("a", 1, ++sequence, chunk_entry("j", "n", 0, 5),
+                commit_entry("j", "n", 5)));
+    keep(record("a", 1, ++sequence, result_entry("j", 1), intent_entry("j", 2),
+                chunk_entry("open", "n", 0, 3), forget_entry("k")));
+    keep(record("a", 1, ++sequence, call_intent_entry("c"), outcome_entry("c"),
+                chunk_entry("j", "n", 0, 5, true)));
+    keep(record("a", 1, ++sequence,
+                checkpoint_entry(state.make_checkpoint(4096)[0])));
+
+    // Protobuf writes a line to standard error for each invalid text.
+    const google::protobuf::LogSilencer silencer;
+    std::mt19937_64 random(20240501);
+    std::size_t parsed = 0;
+    for (int i = 0; i < 40000; ++i)
+    {
+        auto bytes = samples[random() % samples.size()];
+        for (auto n = 1 + random() % 3; n > 0; --n)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        proto::PartitionRecord damaged;
+        if (!damaged.ParseFromString(bytes))
+            continue;
+        ++parsed;
+        damaged.set_sequence(++sequence);
+        append(damaged);
+        partition_state reader;
+        reader.reset(2);
+        reader.apply(2, damaged);
+        for (const auto* it : {&state, &reader})
+        {
+            it->oldest_needed_offset(true);
+            it->for_each_job([](const job& value) { value.chunk_of(0); });
+            it->fingerprint();
+        }
+    }
+    BOOST_TEST(parsed > 1000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
