--- a/test/state/test_config_state.cpp
+++ b/test/state/test_config_state.cpp
@@ -186,6 +186,27 @@
     BOOST_TEST(bytes_of(late) == bytes_of(state));
 }
 
+// Guards against judging a ticket again that the snapshot covers: what was
+// invalid then would be valid now.
+BOOST_AUTO_TEST_CASE(held_back_tickets_that_a_snapshot_covers_are_dropped)
+{
+    add(1, "models: [{name: a}]\n");
+    config_state late;
+    const auto too_early = ticket_record(7, target("t", "m"));
+    const auto model = ticket_record(3, "models: [{name: m}]\n");
+    for (const auto& it : {too_early, model})
+    {
+        const auto offset = state.read_through() + 1;
+        state.apply(offset, it);
+        late.apply(offset, it);
+    }
+    proto::ConfigRecord snapshot;
+    *snapshot.mutable_snapshot() = state.make_snapshot(4096)[0];
+    BOOST_TEST(late.apply(4, snapshot).empty());
+    BOOST_TEST(bytes_of(late) == bytes_of(state));
+    BOOST_TEST(late.current()->targets_size() == 0);
+}
+
 // Guards against a configuration that is larger than a record and lost when
 // its tickets expire.
 BOOST_AUTO_TEST_CASE(a_large_snapshot_comes_in_parts)
