Claim a partition again after an earlier release of the same process

A holder that had released a partition read its own release again when it claimed the partition anew, and took it for the release of its new claim. A release counts only for the claim that is held.

Found by the test partitions_are_shared_and_released, which passes now.

--- a/src/entry/partition_owner.cpp
+++ b/src/entry/partition_owner.cpp
@@ -45,7 +45,8 @@
     };
     it.on_released = [this](const state::claim_info& current)
     {
-        released_ = current.writer == settings_.writer;
+        // An earlier release of this process may be read again before a claim.
+        released_ = claim_offset() == current.offset;
     };
     it.on_job_accepted = [this](const state::job& job)
     {
@@ -173,7 +174,9 @@
     else if (verdict == state::record_verdict::valid && appender_ &&
              record.claim_offset() == claim_offset())
         appender_->read_back(record.sequence(), it.offset);
-    if (std::exchange(released_, false))
+    // The records show that the state was read from a void checkpoint.
+    if (std::exchange(released_, false) ||
+        (claim_offset() == 0 && phase_ == owner_phase::held))
         become_idle();
 }
 
