--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -1,3 +1,4 @@
+#include "agent/agent_process.hpp"
 #include "common/logging.hpp"
 #include "config/settings.hpp"
 #include "entry/entry_process.hpp"
@@ -70,7 +71,7 @@
     }
     if (settings.role == "entry")
         return entry::entry_process(settings).run();
-    return exit_ok;
+    return agent::agent_process(std::move(settings)).run();
 }
 
 } // namespace
