--- a/src/entry/partition_owner.cpp
+++ b/src/entry/partition_owner.cpp
@@ -73,6 +73,7 @@
     {
         records_since_checkpoint_ = 0;
         bytes_since_checkpoint_ = 0;
+        checkpoint_open_ = false;
     };
     return it;
 }
@@ -234,6 +235,7 @@
 {
     backoff_.reset();
     phase_ = owner_phase::held;
+    checkpoint_open_ = false;
     appender_settings settings;
     settings.stream = batch_stream(settings_.partition);
     settings.writer = settings_.writer;
@@ -289,8 +291,9 @@
     const bool due =
         records_since_checkpoint_ >= settings_.checkpoint_records ||
         bytes_since_checkpoint_ >= settings_.checkpoint_bytes;
-    if (!due || phase_ != owner_phase::held)
+    if (!due || checkpoint_open_ || phase_ != owner_phase::held)
         return;
+    checkpoint_open_ = true;
     appender_->insert_when_idle(
         [this]
         {
--- a/src/entry/partition_owner.hpp
+++ b/src/entry/partition_owner.hpp
@@ -167,6 +167,9 @@
     std::uint64_t records_since_checkpoint_ = 0;
     std::size_t bytes_since_checkpoint_ = 0;
 
+    /// A checkpoint of this claim is not read back yet.
+    bool checkpoint_open_ = false;
+
     /// Set by hooks of the state; acted on after the record was applied.
     bool own_claim_read_ = false;
     bool claim_replaced_ = false;
--- a/test/entry/test_batch_streams.cpp
+++ b/test/entry/test_batch_streams.cpp
@@ -1,3 +1,4 @@
+#include "entry/partition_owner.hpp"
 #include "entry/stream_appender.hpp"
 #include "entry/stream_follower.hpp"
 #include "entry/work_queue.hpp"
@@ -200,3 +201,63 @@
         BOOST_TEST(keys == expected, boost::test_tools::per_element());
     }
 }
+
+// Guards against checkpoints that follow each other without end, and against a
+// checkpoint that leaves out what was queued before it.
+BOOST_AUTO_TEST_CASE(checkpoints_are_few_and_complete)
+{
+    boost::asio::io_context context;
+    test::fake_log log(context);
+    entry::owner_settings settings;
+    settings.entry = "a";
+    settings.writer = "a/1";
+    settings.checkpoint_records = 20;
+    settings.read_wait = std::chrono::milliseconds(50);
+    int held = 0;
+    entry::partition_owner::hooks hooks;
+    hooks.on_held = [&]
+    {
+        ++held;
+    };
+    hooks.on_idle = [](const auto&) {
+    };
+    hooks.on_job_accepted = [](const auto&) {
+    };
+    hooks.on_job_cancelled = [](const auto&) {
+    };
+    hooks.on_forgotten = [](const auto&) {
+    };
+    hooks.on_item_completed = [](const auto&, const auto&) {
+    };
+    hooks.on_progress = [] {
+    };
+    entry::partition_owner owner(context, log.service, settings, hooks);
+    owner.try_claim(0, 0);
+    BOOST_TEST_REQUIRE(test::run_until(context, [&] { return held == 1; }));
+    int recorded = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        proto::PartitionEntry it;
+        it.mutable_intent()->set_call_id("call-" + std::to_string(i));
+        it.mutable_intent()->set_content_hash("x");
+        BOOST_TEST(owner.appender()->push(std::move(it),
+                                          [&](auto, auto) { ++recorded; }));
+        BOOST_TEST(test::run_until(context, [&] { return recorded == i + 1; }));
+    }
+    int checkpoints = 0;
+    for (const auto& data : log.records("batch-0"))
+    {
+        proto::PartitionRecord record;
+        BOOST_TEST(record.ParseFromString(data));
+        checkpoints += record.entries(0).has_checkpoint() ? 1 : 0;
+    }
+    BOOST_TEST(checkpoints >= 4);
+    BOOST_TEST(checkpoints <= 6);
+
+    settings.entry = "b";
+    settings.writer = "b/1";
+    entry::partition_owner next(context, log.service, settings, hooks);
+    next.try_claim(owner.state().checkpoint_offset(), owner.claim_offset());
+    BOOST_TEST(test::run_until(context, [&] { return held == 2; }));
+    BOOST_TEST(next.state().call_count() == 100u);
+}
