Serve pipelined requests while the connection is watched

The read that notices callers who leave was also started while a pipelined request was in the buffer. The next request was then not parsed until that read ended, which it did only with the connection. It is now started with an empty buffer only. Cancelling the read for the next request was ruled out: bytes that arrive with the cancellation would have to be accounted for.

Targets get each new configuration version together with their own state; agents take a version only with it.

--- a/src/entry/target_link.cpp
+++ b/src/entry/target_link.cpp
@@ -168,17 +168,7 @@
 void target_link::set_version(std::uint64_t config_version)
 {
     config_version_ = config_version;
-    send_version();
-}
-
-void target_link::send_version()
-{
-    if (!status_stream_)
-        return;
-    proto::StatusDown message;
-    message.set_entry(entry_);
-    message.set_config_version(config_version_);
-    status_stream_->send(message);
+    send_target();
 }
 
 void target_link::set_fences(const std::vector<proto::Fence>& fences)
--- a/src/entry/target_link.hpp
+++ b/src/entry/target_link.hpp
@@ -119,7 +119,6 @@
     void open_status();
     void send_target();
     void send_fences();
-    void send_version();
     void status_message(std::string_view message);
     double slots() const;
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -137,8 +137,7 @@
         first_request_ ? settings_.read_timeout : settings_.idle_timeout;
     const auto deadline = std::chrono::steady_clock::now() + limit;
     first_request_ = false;
-    if (buffer_.size() == 0)
-        start_monitor();
+    start_monitor();
     while (monitoring_ && !broken_)
     {
         wake_.expires_at(deadline);
@@ -151,10 +150,10 @@
 
 void http_session::start_monitor()
 {
-    // Without room the connection is not watched; its end is then seen by
-    // the next write.
-    const bool room = buffer_.max_size() - buffer_.size() >= monitor_bytes;
-    if (monitoring_ || broken_ || !room)
+    // With a pipelined request in the buffer the connection is not watched:
+    // that request could not be parsed while a read is under way. The end of
+    // the connection is then seen by the next write.
+    if (monitoring_ || broken_ || buffer_.size() != 0)
         return;
     monitoring_ = true;
     stream_.expires_never();
