--- a/src/entry/partition_owner.cpp
+++ b/src/entry/partition_owner.cpp
@@ -45,7 +45,8 @@
     };
     it.on_released = [this](const state::claim_info& current)
     {
-        released_ = current.writer == settings_.writer;
+        // An earlier release of this process may be read again before a claim.
+        released_ = claim_offset() == current.offset;
     };
     it.on_job_accepted = [this](const state::job& job)
     {
@@ -72,6 +73,7 @@
     {
         records_since_checkpoint_ = 0;
         bytes_since_checkpoint_ = 0;
+        checkpoint_open_ = false;
     };
     return it;
 }
@@ -173,7 +175,9 @@
     else if (verdict == state::record_verdict::valid && appender_ &&
              record.claim_offset() == claim_offset())
         appender_->read_back(record.sequence(), it.offset);
-    if (std::exchange(released_, false))
+    // The records show that the state was read from a void checkpoint.
+    if (std::exchange(released_, false) ||
+        (claim_offset() == 0 && phase_ == owner_phase::held))
         become_idle();
 }
 
@@ -231,6 +235,7 @@
 {
     backoff_.reset();
     phase_ = owner_phase::held;
+    checkpoint_open_ = false;
     appender_settings settings;
     settings.stream = batch_stream(settings_.partition);
     settings.writer = settings_.writer;
@@ -286,8 +291,9 @@
     const bool due =
         records_since_checkpoint_ >= settings_.checkpoint_records ||
         bytes_since_checkpoint_ >= settings_.checkpoint_bytes;
-    if (!due || phase_ != owner_phase::held)
+    if (!due || checkpoint_open_ || phase_ != owner_phase::held)
         return;
+    checkpoint_open_ = true;
     appender_->insert_when_idle(
         [this]
         {
