--- a/test/integration/fleet.cpp
+++ b/test/integration/fleet.cpp
@@ -5,6 +5,7 @@
 #include "proto/records.pb.h"
 #include "standin/answer_text.hpp"
 
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
@@ -319,18 +320,15 @@
 
     // Ready, and the model can be reached through each entry.
     for (int n = 1; n <= options_.entries; ++n)
-        require(
-            eventually(start_timeout,
-                       [&]
-                       {
-                           answer = call(n, {.method = "POST",
-                                             .target = "/v1/chat/completions",
-                                             .content_type = "application/json",
-                                             .body = chat_body("start", 1)});
-                           return answer.status == 200 &&
-                                  answers(entry_port(base_port_, n), "/readyz");
-                       }),
-            "entry not ready: " + answer.body);
+        require(eventually(start_timeout,
+                           [&]
+                           {
+                               answer = call(n, chat("start", 1));
+                               return answer.status == 200 &&
+                                      answers(entry_port(base_port_, n),
+                                              "/readyz");
+                           }),
+                "entry not ready: " + answer.body);
 }
 
 void fleet::start(const std::string& name, std::vector<std::string> arguments)
@@ -352,6 +350,14 @@
     return call_port(port, {}, {.target = path}).status == 200;
 }
 
+cli::api_request chat(const std::string& content, int tokens, bool stream)
+{
+    return {.method = "POST",
+            .target = "/v1/chat/completions",
+            .content_type = "application/json",
+            .body = chat_body(content, tokens, stream)};
+}
+
 std::string chat_body(const std::string& content, int tokens, bool stream)
 {
     json::object message;
@@ -366,6 +372,26 @@
     return json::serialize(out);
 }
 
+std::string streamed_text(const std::string& body)
+{
+    std::string out;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (!line.starts_with("data: "))
+            continue;
+        const auto data = line.substr(6);
+        if (data.starts_with("[DONE]"))
+            return out;
+        const auto chunk = json::parse(data);
+        const auto& choice = chunk.at("choices").at(0).as_object();
+        if (const auto* it =
+                choice.at("delta").as_object().if_contains("content"))
+            out += it->as_string();
+    }
+    return {};
+}
+
 std::string job_lines(int count, int tokens)
 {
     std::string out;
--- a/test/integration/fleet.hpp
+++ b/test/integration/fleet.hpp
@@ -108,10 +108,17 @@
 constexpr std::string_view team_key = "example-key-consegne";
 constexpr std::string_view operator_key = "example-operator-key-fondazione";
 
+/// A chat request.
+cli::api_request chat(const std::string& content, int tokens,
+                      bool stream = false);
+
 /// Body of a chat request.
 std::string chat_body(const std::string& content, int tokens,
                       bool stream = false);
 
+/// The text in the chunks of a streamed answer; empty without "[DONE]".
+std::string streamed_text(const std::string& body);
+
 /// A job of `count` chat items with custom_ids "item-0" and so on, each with
 /// the content "crate N".
 std::string job_lines(int count, int tokens);
--- a/test/integration/test_jobs.cpp
+++ b/test/integration/test_jobs.cpp
@@ -85,8 +85,10 @@
     const auto finished = it.finished_items(other, id);
     it.at(holder).kill();
 
-    // Takeover within the 5 s of the design, measured by progress.
-    BOOST_TEST(eventually(10s, [&]
+    // The design's bound of a takeover.
+    const auto name = "entry-" + std::to_string(other);
+    BOOST_TEST(eventually(5s, [&] { return it.holder_of(id) == name; }));
+    BOOST_TEST(eventually(5s, [&]
                           { return it.finished_items(other, id) > finished; }));
     BOOST_TEST(it.wait_for_job(other, id, "completed", 90s));
     check_results(it.results(other, id), items, tokens);
@@ -115,10 +117,7 @@
     BOOST_TEST(
         eventually(10s, [&] { return it.seen("log").at("unavailable") != 0; }));
 
-    const auto online = it.call(2, {.method = "POST",
-                                    .target = "/v1/chat/completions",
-                                    .content_type = "application/json",
-                                    .body = chat_body("ciao", tokens)});
+    const auto online = it.call(2, chat("ciao", tokens));
     BOOST_TEST(online.status == 200);
     const auto refused = it.call(1, {.method = "POST",
                                      .target = "/v1/batches",
@@ -152,11 +151,7 @@
     const auto started = it.engines_total("started");
     constexpr int online = 20;
     for (int n = 0; n < online; ++n)
-        BOOST_TEST(it.call(1 + n % 2, {.method = "POST",
-                                       .target = "/v1/chat/completions",
-                                       .content_type = "application/json",
-                                       .body = chat_body("ciao", tokens)})
-                       .status == 200);
+        BOOST_TEST(it.call(1 + n % 2, chat("ciao", tokens)).status == 200);
     BOOST_TEST(it.engines_total("started") - started == online);
     int late = 0;
     for (const auto* name : {"engine-1", "engine-2"})
--- a/test/integration/test_online.cpp
+++ b/test/integration/test_online.cpp
@@ -5,8 +5,6 @@
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <sstream>
-
 namespace json = boost::json;
 using namespace tanagertrack;
 using namespace tanagertrack::test;
@@ -14,27 +12,6 @@
 namespace
 {
 
-/// The text in the chunks of a streamed answer; empty without "[DONE]".
-std::string streamed_text(const std::string& body)
-{
-    std::string out;
-    std::istringstream lines(body);
-    for (std::string line; std::getline(lines, line);)
-    {
-        if (!line.starts_with("data: "))
-            continue;
-        const auto data = line.substr(6);
-        if (data.starts_with("[DONE]"))
-            return out;
-        const auto chunk = json::parse(data);
-        const auto& choice = chunk.at("choices").at(0).as_object();
-        if (const auto* it =
-                choice.at("delta").as_object().if_contains("content"))
-            out += it->as_string();
-    }
-    return {};
-}
-
 /// A call to the service that may not be repeated.
 cli::api_request manifest(const std::string& key)
 {
@@ -76,10 +53,7 @@
 BOOST_AUTO_TEST_CASE(streamed_answer_is_complete)
 {
     fleet it({});
-    const auto answer = it.call(1, {.method = "POST",
-                                    .target = "/v1/chat/completions",
-                                    .content_type = "application/json",
-                                    .body = chat_body("ciao", 50, true)});
+    const auto answer = it.call(1, chat("ciao", 50, true));
     BOOST_TEST(answer.status == 200);
     BOOST_TEST(streamed_text(answer.body) ==
                standin::answer_text("ciao\n", 50));
