Test lost hosts, leaving targets and outages at start end to end

Cause: a holder can be lost right after it acknowledged a job, an answer of an item that may not be repeated can be lost, an entry can start while the log is down, and a target can leave under load.

Change: one test for each of them with real processes.

Ruled out: waiting for the 2 s in which a leaving target may get work; the test starts its requests when both entries report the target as leaving.

--- a/test/integration/fleet.cpp
+++ b/test/integration/fleet.cpp
@@ -106,6 +106,21 @@
     return call_port(entry_port(base_port_, entry) + 1, operator_key, request);
 }
 
+cli::api_request fleet::leaving_ticket(const std::string& target) const
+{
+    // The target's rows in the first ticket, with another state.
+    std::ostringstream text;
+    text << std::ifstream(folder_ + "/ticket-1.yaml").rdbuf();
+    const auto first = text.str();
+    const auto begin = first.find("  - name: " + target + "\n");
+    const auto end = first.find("  - name: ", begin + 1);
+    return {.method = "POST",
+            .target = "/operator/tickets",
+            .content_type = "application/yaml",
+            .body = "ticket: 2\ntargets:\n" + first.substr(begin, end - begin) +
+                    "    state: leaving\n"};
+}
+
 std::string fleet::submit(int entry, const std::string& key,
                           const std::string& lines) const
 {
--- a/test/integration/fleet.hpp
+++ b/test/integration/fleet.hpp
@@ -50,6 +50,9 @@
     /// Makes a call to the operators' listener of entry `n`.
     cli::api_answer operate(int entry, const cli::api_request& request) const;
 
+    /// Ticket 2, which says that a target is leaving.
+    cli::api_request leaving_ticket(const std::string& target) const;
+
     /// Submits a job and returns its id; repeats a submission that was not
     /// run. Throws when it is not accepted in time.
     std::string submit(int entry, const std::string& key,
--- a/test/integration/test_faults.cpp
+++ b/test/integration/test_faults.cpp
@@ -153,6 +153,70 @@
     BOOST_TEST(it.wait_for_job(2, id, "cancelled", 20s));
 }
 
+// Guards against work that was acknowledged and lost with the host that
+// acknowledged it, and against a resubmission that becomes another job.
+BOOST_AUTO_TEST_CASE(holder_lost_after_acknowledging)
+{
+    fleet it({});
+    const auto lines = job_lines(items, tokens);
+    const auto id = it.submit(1, "acknowledged", lines);
+    const auto holder = it.holder_of(id);
+    it.at(holder).kill();
+    const int other = 3 - number_of(holder);
+    BOOST_TEST(it.submit(other, "acknowledged", lines) == id);
+    BOOST_TEST(it.wait_for_job(other, id, "completed", 60s));
+    check_results(it.results(other, id), items, tokens);
+}
+
+// Guards against an item that may not be repeated and runs twice, or is
+// reported as failed or done, when its answer is lost.
+BOOST_AUTO_TEST_CASE(item_with_lost_answer_is_unknown)
+{
+    fleet it({.services = 1});
+    it.fault("service-1", R"({"drop_answers":1})");
+    const auto id =
+        it.submit(1, "manifest",
+                  R"({"custom_id":"m","method":"POST","url":)"
+                  R"("/v1/services/carico/manifests","body":{"crate":7}})"
+                  "\n");
+    BOOST_TEST(it.wait_for_job(2, id, "completed", 60s));
+    BOOST_TEST(it.job(1, id).at("request_counts").at("unknown") == 1);
+    BOOST_TEST(it.results(1, id).count("m") == 1);
+    BOOST_TEST(it.seen("service-1").at("executions") == 1);
+}
+
+// Guards against an entry that can't serve online requests because it starts
+// while the log is down.
+BOOST_AUTO_TEST_CASE(entry_starts_during_log_outage)
+{
+    fleet it({});
+    it.at("entry-2").kill();
+    it.fault("log", R"({"outage":true})");
+    it.restart("entry-2");
+    BOOST_TEST(eventually(
+        20s, [&] { return it.call(2, chat("ciao", tokens)).status == 200; }));
+}
+
+// Guards against new work for a target that is leaving, and requests that
+// fail because of it.
+BOOST_AUTO_TEST_CASE(leaving_target_gets_no_new_work)
+{
+    fleet it({});
+    const auto ticket = it.leaving_ticket("scribi-1");
+    BOOST_REQUIRE(it.operate(1, ticket).status == 200);
+    const auto leaves = [&](int entry)
+    {
+        const auto body =
+            it.operate(entry, {.target = "/operator/targets"}).body;
+        return body.find("\"leaving\":true") != std::string::npos;
+    };
+    BOOST_REQUIRE(eventually(4s, [&] { return leaves(1) && leaves(2); }));
+    const auto started = it.seen("engine-1").at("started");
+    for (int n = 0; n < 40; ++n)
+        BOOST_TEST(it.call(1 + n % 2, chat("ciao", tokens)).status == 200);
+    BOOST_TEST(it.seen("engine-1").at("started") == started);
+}
+
 // Guards against two operators who both believe that their ticket of the same
 // number is in force, and against entries that judge differently.
 BOOST_AUTO_TEST_CASE(conflicting_tickets_have_one_winner)
