Tell a passed deadline from a target that is down

Cause: a call whose deadline passed while it connected was reported as no_target, which marked the target as down for all work.

Change: it is deadline_before_start, refused as not run. Events that arrive together no longer count as steps of zero length, which made the best step time too small for the adaptive limit. A connect timer that fires in the same loop turn as the peer's first frame no longer ends the connection.

--- a/src/agent/work_session.cpp
+++ b/src/agent/work_session.cpp
@@ -53,6 +53,10 @@
     return std::chrono::duration<double>(to - from).count();
 }
 
+/// Events closer together than this arrived together and say nothing about
+/// the time of a step.
+constexpr double min_step_seconds = 0.0002;
+
 constexpr unsigned too_many_requests = 429;
 
 } // namespace
@@ -215,7 +219,8 @@
     {
         const auto seconds = seconds_between(last_event_, now);
         metrics.step.record(seconds);
-        limit.step(seconds, online, now);
+        if (seconds >= min_step_seconds)
+            limit.step(seconds, online, now);
     }
     last_event_ = now;
 }
@@ -257,15 +262,14 @@
 void work_session::on_failed(std::error_code ec)
 {
     const auto code = common::to_result_code(ec);
-    if (code == result_code::no_target && !sent_)
-    {
-        run_.reset();
+    const bool not_sent = code == result_code::no_target ||
+                          code == result_code::deadline_before_start;
+    if (code == result_code::no_target)
         owner_.target_refused();
+    if (not_sent)
         refuse(code);
-        return;
-    }
-    fail(code == result_code::no_target ? result_code::connection_lost : code,
-         {}, false);
+    else
+        fail(code, {}, false);
 }
 
 // ---- end ----
--- a/src/platform/http_target.cpp
+++ b/src/platform/http_target.cpp
@@ -199,7 +199,11 @@
             asio::redirect_error(asio::use_awaitable, ec));
         if (ec || cancelled_)
         {
-            fail(sent_ ? result_code::connection_lost : result_code::no_target);
+            // A deadline that passes says nothing about the target.
+            const bool late = common_clock::now() >= deadline_;
+            fail(sent_  ? result_code::connection_lost
+                 : late ? result_code::deadline_before_start
+                        : result_code::no_target);
             co_return false;
         }
         stream.socket().set_option(tcp::no_delay(true), ec);
--- a/src/platform/target_service.hpp
+++ b/src/platform/target_service.hpp
@@ -57,8 +57,9 @@
     std::function<void(target_answer)> on_finished;
 
     /// No complete answer: `no_target` when no connection was made and nothing
-    /// was sent; `connection_lost`, `deadline_exceeded`, or `protocol_error`
-    /// (not HTTP, or over a limit) after `on_sent`.
+    /// was sent, `deadline_before_start` when the time for that was over;
+    /// `connection_lost`, `deadline_exceeded`, or `protocol_error` (not HTTP,
+    /// or over a limit) after `on_sent`.
     std::function<void(std::error_code)> on_failed;
 };
 
--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -41,7 +41,8 @@
         timer_.async_wait(
             [self = shared_from_this()](const auto& error)
             {
-                if (!error)
+                // The handler may already be queued when the peer answers.
+                if (!error && !self->up_)
                     self->down();
             });
         socket_.async_connect(tcp::endpoint(address, peer.port),
@@ -100,6 +101,7 @@
 
     void on_up()
     {
+        up_ = true;
         timer_.cancel();
         const auto hooks = hooks_;
         if (hooks->on_up)
@@ -138,6 +140,7 @@
     asio::steady_timer timer_;
     std::shared_ptr<connection_hooks> hooks_;
     std::shared_ptr<session> session_;
+    bool up_ = false;
     bool ended_ = false;
 };
 
