Follow the platform's host list

A host can be shown as leaving by the host list only. The entry now reads the list (platform.hosts, every platform.hosts_interval_ms) and gives targets on leaving hosts no new work. While the list can't be read the last one stays in effect: forgetting it would send work to hosts that are going away.

test_entry: leaving_host_gets_no_new_work.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -8,6 +8,7 @@
 #include "entry/config_follower.hpp"
 #include "entry/config_puller.hpp"
 #include "entry/front_service.hpp"
+#include "entry/host_follower.hpp"
 #include "entry/online_router.hpp"
 #include "entry/operator_service.hpp"
 #include "entry/peer_options.hpp"
@@ -86,6 +87,10 @@
                  values.peer.entries,
                  [this](proto::ConfigPush push)
                  { follower.load(std::move(push)); }),
+          hosts(peer_thread.context(),
+                platform::make_http_host_list(peer_thread.context(),
+                                              values.platform.hosts),
+                values.platform.hosts_interval, pool),
           follower({values, metrics, config, log_thread, log,
                     [this]
                     {
@@ -168,6 +173,7 @@
     target_pool pool;
     online_router router;
     config_puller puller;
+    host_follower hosts;
 
     // On the `log` thread.
     config_follower follower;
@@ -210,6 +216,8 @@
     it.running = true;
     it.follower.start();
     it.batch.start();
+    if (at.platform.hosts.port != 0)
+        it.peer_thread.post_completion([&it] { it.hosts.start(); });
     for (auto* thread :
          {&it.log_thread, &it.peer_thread, &it.batch_thread, &it.front_thread})
         thread->start();
--- a/test/entry/entry_fixture.hpp
+++ b/test/entry/entry_fixture.hpp
@@ -122,6 +122,40 @@
     http::http_server server_;
 };
 
+/// The host list with the one loopback host.
+class scripted_hosts
+{
+public:
+    scripted_hosts()
+        : server_(thread_.context(), {}, [this](const auto& it) { serve(it); })
+    {
+        BOOST_REQUIRE(!server_.listen({"127.0.0.1", 0}));
+        thread_.start();
+    }
+
+    ~scripted_hosts()
+    {
+        thread_.stop();
+    }
+
+    std::uint16_t port() const
+    {
+        return server_.port();
+    }
+
+    std::atomic<bool> leaving{false};
+
+private:
+    void serve(const http::http_exchange_ptr& it)
+    {
+        it->respond({}, std::string(R"([{"host":"127.0.0.1","state":")") +
+                            (leaving ? "leaving" : "live") + "\"}]");
+    }
+
+    common::duty_thread thread_{"hosts", 64};
+    http::http_server server_;
+};
+
 using work_stream = transport::message_stream_ptr;
 
 /// An agent whose answers to work are scripted.
--- a/test/entry/test_online.cpp
+++ b/test/entry/test_online.cpp
@@ -176,4 +176,21 @@
     BOOST_TEST(agent.attempts == before);
 }
 
+// Guards against new work for a host that only the host list shows as leaving,
+// and against a list that is forgotten when it can't be read.
+BOOST_AUTO_TEST_CASE(leaving_host_gets_no_new_work)
+{
+    auto hosts = std::make_unique<scripted_hosts>();
+    settings.platform.hosts = {"127.0.0.1", hosts->port()};
+    settings.platform.hosts_interval = std::chrono::milliseconds(10);
+    add_agent("scribi-1", [](const work_stream& to, const auto&)
+              { send_finished(to, "good"); });
+    start();
+    BOOST_TEST(has(call_chat(), "good"));
+    hosts->leaving = true;
+    wait_for([&] { return has(call_chat(), "\"no_target\""); });
+    hosts.reset();
+    BOOST_TEST(has(call_chat(), "\"no_target\""));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
