--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,14 +1,29 @@
+#include "agent_admission.hpp"
 #include "connection_cost.hpp"
 #include "growth.hpp"
 #include "message_sizes.hpp"
+#include "transport_cost.hpp"
 
 #include <array>
 #include <cstdio>
+#include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace
 {
 
+using span_run = int (*)(std::span<const std::string>);
+
+/// Passes the options to a scenario that takes them as a span.
+template<span_run Run>
+int with_span(int argc, char** argv)
+{
+    const std::vector<std::string> options(argv + 1, argv + argc);
+    return Run(options);
+}
+
 /// A measurement that can be run by name.
 struct scenario
 {
@@ -24,6 +39,12 @@
              tanagertrack::bench::run_message_sizes},
     scenario{"connection_cost", "memory and time of idle and busy connections",
              tanagertrack::bench::run_connection_cost},
+    scenario{"transport_cost", "round trips and messages on one connection",
+             with_span<tanagertrack::bench::run_transport_cost>},
+    scenario{"agent_path", "latency that an agent adds to its engine",
+             with_span<tanagertrack::bench::run_agent_path>},
+    scenario{"agent_admission", "online latency beside batch at one agent",
+             with_span<tanagertrack::bench::run_agent_admission>},
 };
 
 int usage()
