Avoid slow targets by step time, and at most half of a pool

A slow target gets few tries, and each try gives one time to first token, so its smoothed value stayed high for tens of seconds after the target was fast again, while more and more targets were avoided.

The step time now decides where there is one, and at most half of a pool is avoided. Dropping the old measurements of a target when it is tried was ruled out: one sample would decide.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 #include "connection_cost.hpp"
 #include "growth.hpp"
 #include "message_sizes.hpp"
+#include "slow_targets.hpp"
 #include "transport_cost.hpp"
 
 #include <array>
@@ -45,6 +46,8 @@
              with_span<tanagertrack::bench::run_agent_path>},
     scenario{"agent_admission", "online latency beside batch at one agent",
              with_span<tanagertrack::bench::run_agent_admission>},
+    scenario{"slow_targets", "routing policies beside slowed targets, a model",
+             with_span<tanagertrack::bench::run_slow_targets>},
 };
 
 int usage()
--- a/src/routing/slow_target_detector.cpp
+++ b/src/routing/slow_target_detector.cpp
@@ -48,7 +48,8 @@
     state.times = times;
 
     const double now_ratio = ratio(state);
-    if (!state.slow && now_ratio > settings_.slow_ratio)
+    if (!state.slow && now_ratio > settings_.slow_ratio &&
+        may_avoid_more(state))
     {
         state.slow = true;
         state.share = 0;
@@ -84,15 +85,23 @@
 
 double slow_target_detector::ratio(const target_state& state) const
 {
-    double highest = 0;
-    for (const auto time :
-         {&target_times::step_us, &target_times::first_token_us})
-    {
-        const double median = median_of_others(state, time);
-        if (median >= min_median_us)
-            highest = std::max(highest, state.times.*time / median);
-    }
-    return highest;
+    // A request gives one time to first token and many steps. The first is
+    // compared only where there are no steps: on a target that is rarely
+    // tried it would stay high long after the target is fast again.
+    const auto time = state.times.step_us != 0 ? &target_times::step_us
+                                               : &target_times::first_token_us;
+    const double median = median_of_others(state, time);
+    return median >= min_median_us ? state.times.*time / median : 0;
+}
+
+bool slow_target_detector::may_avoid_more(const target_state& state) const
+{
+    std::size_t slow = 0;
+    for (const auto& [name, it] : targets_)
+        slow += it.slow && it.pool == state.pool ? 1 : 0;
+    const auto all = pools_.find(state.pool)->second.targets;
+    return static_cast<double>(slow + 1) <=
+           settings_.max_slow_share * static_cast<double>(all);
 }
 
 void slow_target_detector::remove(std::string_view target)
--- a/src/routing/slow_target_detector.hpp
+++ b/src/routing/slow_target_detector.hpp
@@ -20,12 +20,17 @@
     /// False: all targets are treated alike (baseline).
     bool enabled = true;
 
-    /// A target is slow when one of its times is above this multiple of its
-    /// pool's median, and normal again below the second one. The gap keeps a
+    /// A target is slow when its step time (or, without steps, its time to
+    /// first token) is above this multiple of the median of the others in its
+    /// pool, and normal again below the second one. The gap keeps a
     /// target at the threshold from changing its state with each report.
     double slow_ratio = 2.0;
     double normal_ratio = 1.4;
 
+    /// Largest share of a pool that is avoided: the others could not carry
+    /// the traffic of more.
+    double max_slow_share = 0.5;
+
     /// Requests to the pool for each one that tries a slow target again, and
     /// the least time between two tries of a target. One try in 500 stays
     /// below the 99th percentile even when two of ten targets are slow.
@@ -103,6 +108,7 @@
         std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
 
     double ratio(const target_state& state) const;
+    bool may_avoid_more(const target_state& state) const;
     double median_of_others(const target_state& state,
                             std::uint32_t target_times::*time) const;
     void set_pool(target_state& state, std::string_view pool);
--- a/test/routing/test_routing.cpp
+++ b/test/routing/test_routing.cpp
@@ -192,6 +192,23 @@
     BOOST_TEST(detector.share("lm-1", at(901)) == 1);
 }
 
+// Guards against avoiding so many targets that the others are overloaded, and
+// against a time to first token that is still high from before.
+BOOST_FIXTURE_TEST_CASE(at_most_half_of_a_pool_is_avoided, pool)
+{
+    for (int i = 0; i < 5; ++i)
+    {
+        const auto name = "lm-" + std::to_string(i);
+        detector.report(name, "m", {i < 3 ? 20000U : 160000U, 900000}, at(10));
+    }
+    BOOST_TEST(detector.is_slow("lm-3"));
+    BOOST_TEST(detector.is_slow("lm-4"));
+    detector.report("lm-2", "m", {500000, 900000}, at(20));
+    BOOST_TEST(!detector.is_slow("lm-2"));
+    detector.report("lm-3", "m", {20000, 800000}, at(30));
+    BOOST_TEST(!detector.is_slow("lm-3"));
+}
+
 // Guards against comparing targets that serve different models.
 BOOST_FIXTURE_TEST_CASE(other_pools_are_not_compared, pool)
 {
