Keep live batch state in the log and forget what is over

Chunks, results, outcomes and the checkpoint are appended again when they reach half of the log's retention, and jobs and calls whose time is over are forgotten. The age of a record follows from samples of the stream's offset and, for what a former holder wrote, from the times at which jobs were accepted.

--- a/src/entry/batch_service.cpp
+++ b/src/entry/batch_service.cpp
@@ -13,6 +13,7 @@
 #include "entry/job_intake.hpp"
 #include "entry/log_proxy.hpp"
 #include "entry/once_calls.hpp"
+#include "entry/retention_keeper.hpp"
 #include "entry/service_rules.hpp"
 #include "http/error_answer.hpp"
 #include "platform/http_log.hpp"
@@ -122,6 +123,7 @@
     batch_environment environment;
     std::shared_ptr<batch_core> core;
     std::shared_ptr<once_calls> calls;
+    std::shared_ptr<retention_keeper> keeper;
     std::shared_ptr<forward_client> forwards;
 };
 
@@ -146,6 +148,7 @@
         make_pool_gate(its.pool, its.peer_thread, its.batch_thread),
         std::move(set_fences)});
     calls = std::make_shared<once_calls>(core);
+    keeper = std::make_shared<retention_keeper>(core);
     forwards = std::make_shared<forward_client>(its.peer_thread, settings);
 }
 
@@ -255,8 +258,12 @@
 
 void batch_service::start()
 {
-    impl_->environment.batch_thread.post_completion([core = impl_->core]
-                                                    { core->start(); });
+    impl_->environment.batch_thread.post_completion(
+        [it = impl_.get()]
+        {
+            it->core->start();
+            it->spawn(it->keeper->run());
+        });
 }
 
 void batch_service::handle_batches(exchange_ptr request)
--- a/src/entry/partition_owner.cpp
+++ b/src/entry/partition_owner.cpp
@@ -291,7 +291,13 @@
     const bool due =
         records_since_checkpoint_ >= settings_.checkpoint_records ||
         bytes_since_checkpoint_ >= settings_.checkpoint_bytes;
-    if (!due || checkpoint_open_ || phase_ != owner_phase::held)
+    if (due)
+        write_checkpoint();
+}
+
+void partition_owner::write_checkpoint()
+{
+    if (checkpoint_open_ || phase_ != owner_phase::held)
         return;
     checkpoint_open_ = true;
     appender_->insert_when_idle(
--- a/src/entry/partition_owner.hpp
+++ b/src/entry/partition_owner.hpp
@@ -98,6 +98,10 @@
     /// is held. A try to claim is ended.
     void release();
 
+    /// Appends a checkpoint when all earlier records are read back; ignored
+    /// unless the partition is held, and while an earlier one is open.
+    void write_checkpoint();
+
     owner_phase phase() const
     {
         return phase_;
--- a/test/entry/test_batch_core.cpp
+++ b/test/entry/test_batch_core.cpp
@@ -4,6 +4,7 @@
 #include "entry/job_answers.hpp"
 #include "entry/job_intake.hpp"
 #include "entry/once_calls.hpp"
+#include "entry/retention_keeper.hpp"
 #include "fake_log.hpp"
 #include "http/error_answer.hpp"
 
@@ -13,6 +14,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -627,4 +629,65 @@
     BOOST_TEST(until([&] { return stopped && first.holds_all(); }));
 }
 
+// Guards against results and outcomes that expire with the log's records, and
+// against jobs that are kept for ever.
+BOOST_AUTO_TEST_CASE(live_state_outlasts_the_log)
+{
+    BOOST_TEST_REQUIRE(until([&] { return first.holds_all(); }));
+    first.targets.behaviour = [](const auto& it)
+    {
+        return success(it.body() == "pay" ? "paid" : R"({"ok":true})");
+    };
+    submit(first, "k", make_items(500, chat));
+    const auto call = first.call_once("call", "pay");
+    BOOST_TEST(
+        until([&] { return call->done && first.status("k") == "completed"; }));
+    std::map<std::string, std::uint64_t> ends;
+    for (const std::string stream : {"batch-0", "batch-1"})
+        ends[stream] = log.records(stream).size() + 1;
+
+    // Everything moves once it is older than half of the retention.
+    first.settings.batch.log_retention = 400ms;
+    const auto first_keeper =
+        std::make_shared<entry::retention_keeper>(first.core);
+    boost::asio::co_spawn(context, first_keeper->run(), boost::asio::detached);
+    const auto moved = [&]
+    {
+        for (std::uint32_t i = 0; i < 2; ++i)
+        {
+            const auto end = ends[entry::batch_stream(i)];
+            const auto& state = first.core->owner(i).state();
+            const auto needed = state.oldest_needed_offset(false);
+            if (state.checkpoint_offset() < end ||
+                (needed != 0 && needed < end))
+                return false;
+        }
+        return true;
+    };
+    BOOST_TEST(until(moved));
+    for (const auto& [stream, end] : ends)
+        log.expire(stream, end);
+    first.isolated = true;
+    test_entry second(context, log, "b");
+    BOOST_TEST_REQUIRE(until([&] { return second.holds_all(); }));
+    BOOST_TEST(read_results(second, "k").size() == 500u);
+    const auto again = second.call_once("call", "pay");
+    BOOST_TEST(until([&] { return again->done; }));
+    BOOST_TEST(again->text == "paid");
+
+    // The time of another job is over at once.
+    second.settings.batch.log_retention = 400ms;
+    second.settings.batch.result_retention = 1ms;
+    second.settings.batch.key_retention = 1ms;
+    const auto second_keeper =
+        std::make_shared<entry::retention_keeper>(second.core);
+    boost::asio::co_spawn(context, second_keeper->run(), boost::asio::detached);
+    submit(second, "short", make_items(1, chat));
+    const auto id = entry::make_job_id("team", "short", 2);
+    BOOST_TEST(until(
+        [&] {
+            return second.core->owner(id.partition).state().is_forgotten(id.id);
+        }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
