Order uses and moves of ids and entries explicitly

Change: the partition is copied before the call; the loop waits for room and the entry is moved once after it.

--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -5,6 +5,7 @@
 #include "entry/async_call.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/assert.hpp>
 #include <boost/asio/post.hpp>
 
 #include <utility>
@@ -220,14 +221,19 @@
         auto* appender = owner.appender();
         if (entry.ByteSizeLong() > appender->max_entry_bytes())
             co_return recorded_entry{result_code::body_too_large, {}};
-        if (appender->push(std::move(entry), handler))
+        if (appender->has_room())
             break;
         timed_result<bool> room(parts_.context.get_executor());
         appender->wait_for_room([set = room.setter()] { set(true); });
         if (co_await room.wait(deadline) == nullptr)
             co_return recorded_entry{result_code::log_unavailable, {}};
     }
-    if (!wait)
+
+    // Nothing else ran since the last check.
+    const bool pushed =
+        owner.appender()->push(std::move(entry), std::move(handler));
+    BOOST_ASSERT(pushed);
+    if (!wait || !pushed)
         co_return recorded_entry{};
     const auto* result = co_await recorded.wait(deadline);
     if (result == nullptr)
--- a/src/entry/batch_service.cpp
+++ b/src/entry/batch_service.cpp
@@ -188,9 +188,10 @@
             return refuse(*request, http::rejection(result_code::unknown_job));
         id = {route.job_id, *partition};
     }
-    if (!core->owner(id.partition).is_held())
-        return forward(request, id.partition, forwarded);
-    serve_held(request, id.partition, route, std::move(id));
+    const auto partition = id.partition;
+    if (!core->owner(partition).is_held())
+        return forward(request, partition, forwarded);
+    serve_held(request, partition, route, std::move(id));
 }
 
 void batch_service::impl::serve_held(const exchange_ptr& request,
--- a/src/entry/stream_appender.hpp
+++ b/src/entry/stream_appender.hpp
@@ -82,6 +82,12 @@
     void
     insert_when_idle(std::function<std::vector<proto::PartitionEntry>()> make);
 
+    /// Whether `push` accepts an entry now.
+    bool has_room() const
+    {
+        return bytes_ < settings_.max_queued_bytes;
+    }
+
     /// Calls `handler` once when `push` accepts entries again.
     void wait_for_room(std::function<void()> handler);
 
@@ -135,11 +141,6 @@
         std::vector<recorded_handler> handlers;
     };
 
-    bool has_room() const
-    {
-        return bytes_ < settings_.max_queued_bytes;
-    }
-
     bool fits(const proto::PartitionRecord& record, std::size_t bytes,
               const queued_entry& next) const;
     void make_record();
