Bound the reads of the control stream by time

Cause: every entry reads the heartbeats of all holders, and a waiting read ends with each record. With 30 holders an entry received 7.4 KB/s and sent 4.6 KB/s (scripts/measure-idle.sh 5 15 30 64), most of it HTTP header fields.

Change: once at the end of the stream, a follower waits for a least interval between reads; for control a quarter of the heartbeat interval.

Ruled out: larger waits in the log, which still end with each record; fewer heartbeats, which would delay takeover.

--- a/scripts/measure-idle.sh
+++ b/scripts/measure-idle.sh
@@ -2,16 +2,20 @@
 # Measures what an idle fleet costs: processor time, memory and bytes on the
 # wire of an entry and of an agent.
 #
-#   scripts/measure-idle.sh ENGINES [SECONDS]
+#   scripts/measure-idle.sh ENGINES [SECONDS [ENTRIES [PARTITIONS]]]
 #
-# Starts two entries and ENGINES agents (at most 150) without engines behind
-# them, waits until all are connected, and watches for SECONDS (default 30).
-# Prints one row of a Markdown table.
+# Starts ENTRIES entries (default 2) and ENGINES agents, at most 150 processes,
+# without engines behind the agents; waits until the first entry knows all
+# agents, and watches for SECONDS (default 30). Prints a row of a Markdown
+# table: engines, entries, partitions, then for an entry and for an agent
+# processor time, resident MB, bytes/s sent and bytes/s received.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 engines=$1
 seconds=${2:-30}
+entries=${3:-2}
+partitions=${4:-8}
 base=$((30000 + RANDOM % 200))
 ip=127.0.0.1
 work=$(mktemp -d)
@@ -41,20 +45,30 @@
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 resident_kb() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
 
-# Bytes that a process has sent on its open TCP connections.
-sent_bytes() {
-    ss -tinpH state established | awk -v pid="pid=$1," '
+# Bytes that a process has sent or received on its open TCP connections.
+wire_bytes() { # pid sent|received
+    ss -tinpH state established | awk -v pid="pid=$1," -v name="bytes_$2:" '
         index($0, pid) {own = 1; next}
-        own && match($0, /bytes_sent:[0-9]+/) {
-            sum += substr($0, RSTART + 11, RLENGTH - 11)}
+        own && match($0, name "[0-9]+") {
+            sum += substr($0, RSTART + length(name), RLENGTH - length(name))}
         {own = 0}
         END {print sum + 0}'
 }
 
-scripts/make-fleet.sh fondazione "$work/fleet" "$base" 2 "$engines" 0
-for n in 1 2; do
+# All counters of the entry and the agent in one line.
+counters() {
+    local pid
+    for pid in "$entry" "$agent"; do
+        echo -n "$(cpu_ticks "$pid") $(wire_bytes "$pid" sent) " \
+            "$(wire_bytes "$pid" received) $(resident_kb "$pid") "
+    done
+}
+
+scripts/make-fleet.sh fondazione "$work/fleet" "$base" "$entries" "$engines" 0
+for n in $(seq "$entries"); do
     # All agents are in the subset, pings as at the design scale.
-    printf 'routing:\n  subset_size: 1000\n' >>"$work/fleet/entry-$n.yaml"
+    printf 'routing:\n  subset_size: 1000\nbatch:\n  partitions: %d\n' \
+        "$partitions" >>"$work/fleet/entry-$n.yaml"
 done
 sed -i 's/^peer:$/&\n  ping_interval_ms: 10000\n  ping_timeout_ms: 10000/' \
     "$work"/fleet/{agent,entry}-*.yaml
@@ -65,9 +79,10 @@
     start "$(basename "$file")" build/tanagertrackd "$file"
 done
 agent=${pids[-1]}
-start entry-1 build/tanagertrackd "$work/fleet/entry-1.yaml"
-entry=${pids[-1]}
-start entry-2 build/tanagertrackd "$work/fleet/entry-2.yaml"
+for n in $(seq "$entries"); do
+    start "entry-$n" build/tanagertrackd "$work/fleet/entry-$n.yaml"
+    [ "$n" -ne 1 ] || entry=${pids[-1]}
+done
 
 deadline=$((SECONDS + 30))
 ready() {
@@ -83,17 +98,15 @@
 # Claims of the partitions settle.
 sleep 10
 
-before=("$(cpu_ticks "$entry")" "$(cpu_ticks "$agent")"
-    "$(sent_bytes "$entry")" "$(sent_bytes "$agent")")
+before=$(counters)
 sleep "$seconds"
-after=("$(cpu_ticks "$entry")" "$(cpu_ticks "$agent")"
-    "$(sent_bytes "$entry")" "$(sent_bytes "$agent")")
+after=$(counters)
 
-hz=$(getconf CLK_TCK)
-awk -v n="$engines" -v s="$seconds" -v hz="$hz" \
-    -v ec="$((after[0] - before[0]))" -v ac="$((after[1] - before[1]))" \
-    -v eb="$((after[2] - before[2]))" -v ab="$((after[3] - before[3]))" \
-    -v em="$(resident_kb "$entry")" -v am="$(resident_kb "$agent")" 'BEGIN {
-    printf "| %d | %.2f%% | %.1f | %d | %.2f%% | %.1f | %d |\n", n,
-        ec / hz / s * 100, em / 1024, eb / s,
-        ac / hz / s * 100, am / 1024, ab / s}'
+echo "$before $after" | awk -v s="$seconds" -v hz="$(getconf CLK_TCK)" \
+    -v head="| $engines | $entries | $partitions |" '{
+    printf "%s", head
+    for (i = 1; i <= 5; i += 4)
+        printf " %.2f%% | %.1f | %d | %d |", ($(i + 8) - $i) / hz / s * 100,
+            $(i + 11) / 1024, ($(i + 9) - $(i + 1)) / s,
+            ($(i + 10) - $(i + 2)) / s
+    print ""}'
--- a/src/entry/control_follower.cpp
+++ b/src/entry/control_follower.cpp
@@ -17,6 +17,11 @@
 
 constexpr std::string_view control_stream = "control";
 
+/// Reads of `control` in the interval of heartbeats, at most. Every entry reads
+/// the heartbeats of all holders; one read for each would cost more than the
+/// heartbeats themselves.
+constexpr int reads_per_heartbeat_interval = 4;
+
 /// Time between looks at the holder table.
 constexpr std::chrono::milliseconds tick_interval{50};
 
@@ -92,6 +97,8 @@
     follower_settings settings;
     settings.stream = control_stream;
     settings.wait = settings_.read_wait;
+    settings.min_interval =
+        settings_.heartbeat_interval / reads_per_heartbeat_interval;
     settings.retry = settings_.retry;
     settings.seed = settings_.seed;
     follower_hooks hooks;
--- a/src/entry/stream_follower.cpp
+++ b/src/entry/stream_follower.cpp
@@ -30,6 +30,7 @@
 
 void stream_follower::read()
 {
+    read_started_ = common::clock::now();
     platform::log_read_request request;
     request.stream = settings_.stream;
     request.from = position_;
@@ -63,7 +64,7 @@
         if (hooks_.on_error)
             hooks_.on_error(ec);
         if (!alive.expired())
-            read_later();
+            read_after(backoff_.next());
         return;
     }
 
@@ -71,14 +72,21 @@
     last_success_ = common::clock::now();
     if (!result.records.empty())
         position_ = result.records.back().offset + 1;
+    const bool at_end = position_ >= result.next_offset;
     hooks_.on_records(std::move(result.records), result.next_offset);
-    if (!alive.expired())
+    if (alive.expired())
+        return;
+    const auto next_read = read_started_ + settings_.min_interval;
+    const auto now = common::clock::now();
+    if (at_end && next_read > now)
+        read_after(next_read - now);
+    else
         read();
 }
 
-void stream_follower::read_later()
+void stream_follower::read_after(common::duration delay)
 {
-    timer_.expires_after(backoff_.next());
+    timer_.expires_after(delay);
     timer_.async_wait(
         [this, alive = std::weak_ptr(alive_)](boost::system::error_code ec)
         {
--- a/src/entry/stream_follower.hpp
+++ b/src/entry/stream_follower.hpp
@@ -25,6 +25,10 @@
     /// Time that the log waits when there is no new record.
     std::chrono::milliseconds wait{1000};
 
+    /// Least time between the starts of two reads once the end of the stream
+    /// is reached. Bounds the reads of a stream that many processes write to.
+    std::chrono::milliseconds min_interval{0};
+
     /// Bytes of one read, which is the most that the follower holds.
     std::size_t max_read_bytes = 1024 * 1024;
     common::backoff_settings retry;
@@ -78,7 +82,7 @@
 private:
     void read();
     void finish_read(std::error_code ec, platform::log_read_result result);
-    void read_later();
+    void read_after(common::duration delay);
 
     platform::log_service& log_;
     follower_settings settings_;
@@ -87,6 +91,7 @@
     boost::asio::steady_timer timer_;
     std::uint64_t position_ = 1;
     common::time_point last_success_ = common::time_point::min();
+    common::time_point read_started_;
 
     /// Expires with the follower; guards the answers that are on their way.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
