Wait for the cancel in the test of stale claims

Cause: the test looked at the target's flag in the moment when the entry was told of the failure; the cancel crosses to the target thread, and one of 28 runs on a busy machine was too early.

Change: the test waits for the same flag. The scripted target no longer keeps its calls alive through their own cancel functions.

--- a/test/agent/test_work.cpp
+++ b/test/agent/test_work.cpp
@@ -56,9 +56,11 @@
             auto& made = calls.emplace_back(std::make_shared<call>());
             made->request = std::move(request);
             made->hooks = std::move(hooks);
-            return [made]
+            // The hooks hold the owner of this function.
+            return [weak = std::weak_ptr(made)]
             {
-                made->cancelled = true;
+                if (const auto it = weak.lock())
+                    it->cancelled = true;
             };
         };
         return it;
@@ -279,7 +281,7 @@
     newer.set_claim_offset(11);
     send(newer);
     BOOST_TEST(run_until([&] { return running.has(event::kFailed); }));
-    BOOST_TEST(target.get(0)->cancelled);
+    BOOST_TEST(run_until([&] { return target.get(0)->cancelled.load(); }));
     expect_refused(send(old), result_code::stale_claim);
     BOOST_TEST(run_until([&] { return target.count() == 2; }));
 }
