Let a planned stop wait until answers are written

A request counted as over when its answer was given to the connection. A stop at that moment ended the thread before a large answer, or one to a slow caller, was written.

The test has a caller that reads an answer of 4 MB late; without this change it gets a part of it.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -233,7 +233,13 @@
     common::log_info("entry_stopping", {{"requests", it.front.in_progress()}});
     const auto deadline = common::clock::now() + it.settings.stop.grace;
     it.front.stop();
-    while (it.front.in_progress() > 0 && common::clock::now() < deadline)
+
+    // Without the second, an answer that is still to be written would be cut.
+    const auto busy = [&it]
+    {
+        return it.front.in_progress() > 0 || it.front_server.serving() > 0;
+    };
+    while (busy() && common::clock::now() < deadline)
         std::this_thread::sleep_for(stop_poll_interval);
 
     // Partitions go to other entries; without the log they can't.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -71,7 +71,7 @@
 
     void close_all()
     {
-        *detached_ = true;
+        shared_->detached = true;
         stop_accepting();
         for (auto* it : sessions_)
             it->close();
@@ -82,6 +82,11 @@
         return count_.load();
     }
 
+    std::size_t serving() const
+    {
+        return shared_->serving;
+    }
+
 private:
     /// Holds the object itself: the coroutine can outlive the server.
     asio::awaitable<void> accept_all(std::shared_ptr<impl> self)
@@ -121,7 +126,7 @@
         auto session = std::make_shared<http_session>(
             std::move(socket), settings_, handler_,
             [self = shared_from_this()](http_session* it) { self->drop(it); },
-            detached_);
+            shared_);
         sessions_.insert(session.get());
         count_.store(sessions_.size());
         asio::co_spawn(context_, session->run(), asio::detached);
@@ -139,8 +144,8 @@
     tcp::acceptor acceptor_;
     std::unordered_set<http_session*> sessions_;
     std::atomic<std::size_t> count_{0};
-    http_session::detached_flag detached_ =
-        std::make_shared<std::atomic<bool>>(false);
+    http_session::server_state_ptr shared_ =
+        std::make_shared<http_session::server_state>();
 };
 
 http_server::http_server(asio::io_context& context, http_settings settings,
@@ -170,6 +175,11 @@
     impl_->stop_accepting();
 }
 
+std::size_t http_server::serving() const
+{
+    return impl_->serving();
+}
+
 std::size_t http_server::connections() const
 {
     return impl_->connections();
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -45,7 +45,10 @@
     /// Accepts no further connections; open ones go on.
     void stop_accepting();
 
-    /// Open connections.
+    /// Requests whose answer is not handed to the socket yet. Any thread.
+    std::size_t serving() const;
+
+    /// Open connections. Any thread.
     std::size_t connections() const;
 
 private:
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -73,10 +73,10 @@
                            const http_settings& settings,
                            request_handler handler,
                            std::function<void(http_session*)> closed,
-                           detached_flag detached)
+                           server_state_ptr server)
     : stream_(std::move(socket)), settings_(settings),
       handler_(std::move(handler)), closed_(std::move(closed)),
-      detached_(std::move(detached)), wake_(stream_.get_executor()),
+      server_(std::move(server)), wake_(stream_.get_executor()),
       buffer_(settings.max_header_bytes + piece_bytes)
 {
 }
@@ -222,6 +222,7 @@
 asio::awaitable<void> http_session::serve()
 {
     const auto state = current_;
+    ++server_->serving;
     handler_(http_exchange_ptr(new http_exchange(shared_from_this(), state)));
     while (!broken_ && !(state->answered && state->steps.empty()))
     {
@@ -482,6 +483,7 @@
 void http_session::end_request()
 {
     const auto state = std::exchange(current_, nullptr);
+    --server_->serving;
     state->closed = true;
     const auto lost = make_error_code(result_code::connection_lost);
     const bool complete = state->answered && state->steps.empty() && !broken_;
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -31,15 +31,23 @@
 public:
     using request_handler = std::function<void(http_exchange_ptr)>;
 
-    /// Set when the server is gone: its context may be destroyed from then
-    /// on, and calls of exchanges are dropped.
-    using detached_flag = std::shared_ptr<std::atomic<bool>>;
+    /// State that a server shares with its sessions. Any thread.
+    struct server_state
+    {
+        /// The server is gone: its context may be destroyed from then on, and
+        /// calls of exchanges are dropped.
+        std::atomic<bool> detached{false};
+
+        /// Requests whose answer is not handed to the socket yet.
+        std::atomic<std::size_t> serving{0};
+    };
+    using server_state_ptr = std::shared_ptr<server_state>;
 
     /// `settings` outlives the session. `closed` is called at the end.
     http_session(boost::asio::ip::tcp::socket socket,
                  const http_settings& settings, request_handler handler,
                  std::function<void(http_session*)> closed,
-                 detached_flag detached);
+                 server_state_ptr server);
 
     /// Serves until the connection ends.
     boost::asio::awaitable<void> run();
@@ -52,7 +60,7 @@
     /// Whether the server is gone. Any thread.
     bool is_detached() const
     {
-        return *detached_;
+        return server_->detached;
     }
 
     /// Takes a call of an exchange.
@@ -88,7 +96,7 @@
     const http_settings& settings_;
     request_handler handler_;
     std::function<void(http_session*)> closed_;
-    detached_flag detached_;
+    server_state_ptr server_;
     boost::asio::steady_timer wake_;
     boost::beast::flat_buffer buffer_;
 
--- a/test/entry/test_front.cpp
+++ b/test/entry/test_front.cpp
@@ -109,7 +109,8 @@
     raw_client idle(settings.front.port);
     idle.send("GET /healthz HTTP/1.1\r\n\r\n");
     idle.read_answer();
-    auto answer = std::async(std::launch::async, [&] { return call_chat(); });
+    raw_client caller(settings.front.port);
+    caller.send(request("POST", chat_path, chat(false)));
     const auto stream = started.get_future().get();
     auto stop = std::async(std::launch::async, [&] { entry->stop(); });
     wait_for([&] { return has(call("GET /readyz HTTP/1.1\r\n\r\n"), "503"); });
@@ -117,8 +118,13 @@
     const auto refused = idle.read_all();
     BOOST_TEST(has(refused, "\"shutting_down\""));
     BOOST_TEST(has(refused, "Connection: close"));
-    agent.run([stream] { send_finished(stream, "late"); });
-    BOOST_TEST(has(answer.get(), "\r\n\r\nlate"));
+
+    // Larger than what sockets buffer: the stop has to wait until the caller
+    // reads. A stop that does not wait ends first and cuts the answer.
+    const std::string body(4000000, 'x');
+    agent.run([&] { send_finished(stream, body); });
+    stop.wait_for(std::chrono::milliseconds(500));
+    BOOST_TEST(has(caller.read_answer(), "\r\n\r\n" + body));
     stop.get();
 }
 
