--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -212,21 +212,24 @@
             set({ec, position});
         };
 
-    // Wait for room in the queue.
-    for (;;)
+    const auto find_appender = [&owner, claim]
+    {
+        const bool held = owner.is_held() && owner.claim_offset() == claim;
+        return held ? owner.appender() : nullptr;
+    };
+    auto* appender = find_appender();
+    while (appender != nullptr && !appender->has_room())
     {
-        if (!owner.is_held() || owner.claim_offset() != claim)
-            co_return recorded_entry{result_code::stale_claim, {}};
-        auto* appender = owner.appender();
-        if (entry.ByteSizeLong() > appender->max_entry_bytes())
-            co_return recorded_entry{result_code::body_too_large, {}};
-        if (appender->push(std::move(entry), handler))
-            break;
         timed_result<bool> room(parts_.context.get_executor());
         appender->wait_for_room([set = room.setter()] { set(true); });
         if (co_await room.wait(deadline) == nullptr)
             co_return recorded_entry{result_code::log_unavailable, {}};
+        appender = find_appender();
     }
+    if (appender == nullptr)
+        co_return recorded_entry{result_code::stale_claim, {}};
+    if (!appender->push(std::move(entry), handler))
+        co_return recorded_entry{result_code::body_too_large, {}};
     if (!wait)
         co_return recorded_entry{};
     const auto* result = co_await recorded.wait(deadline);
--- a/src/entry/batch_service.cpp
+++ b/src/entry/batch_service.cpp
@@ -110,8 +110,8 @@
     /// On the batch thread. A request that came forwarded is not forwarded
     /// again.
     void serve_batches(const exchange_ptr& request, bool forwarded);
-    void serve_held(const exchange_ptr& request, std::uint32_t partition,
-                    const batch_route& route, placed_id id);
+    void serve_held(const exchange_ptr& request, const batch_route& route,
+                    const placed_id& id);
     void serve_call(const exchange_ptr& request, const std::string& service,
                     bool forwarded);
 
@@ -190,17 +190,17 @@
     }
     if (!core->owner(id.partition).is_held())
         return forward(request, id.partition, forwarded);
-    serve_held(request, id.partition, route, std::move(id));
+    serve_held(request, route, id);
 }
 
 void batch_service::impl::serve_held(const exchange_ptr& request,
-                                     std::uint32_t partition,
-                                     const batch_route& route, placed_id id)
+                                     const batch_route& route,
+                                     const placed_id& id)
 {
+    const auto partition = id.partition;
     if (route.wanted == batch_route::action::create)
     {
-        auto intake =
-            std::make_shared<job_intake>(core, request, std::move(id));
+        auto intake = std::make_shared<job_intake>(core, request, id);
         auto run = [](std::shared_ptr<job_intake> it) -> asio::awaitable<void>
         {
             co_await it->run();
--- a/src/entry/stream_appender.hpp
+++ b/src/entry/stream_appender.hpp
@@ -103,6 +103,12 @@
         return failing_;
     }
 
+    /// Whether `push` accepts entries that fit into a record.
+    bool has_room() const
+    {
+        return bytes_ < settings_.max_queued_bytes;
+    }
+
     /// Number of append calls.
     std::uint64_t appends() const
     {
@@ -135,11 +141,6 @@
         std::vector<recorded_handler> handlers;
     };
 
-    bool has_room() const
-    {
-        return bytes_ < settings_.max_queued_bytes;
-    }
-
     bool fits(const proto::PartitionRecord& record, std::size_t bytes,
               const queued_entry& next) const;
     void make_record();
--- a/test/entry/test_batch_core.cpp
+++ b/test/entry/test_batch_core.cpp
@@ -33,14 +33,14 @@
     fake_exchange(boost::asio::io_context& context, std::string body)
         : context_(context), body_(std::move(body))
     {
-        head_.method = "POST";
-        head_.target = "/v1/batches";
-        head_.team = "team";
+        request_head.method = "POST";
+        request_head.target = "/v1/batches";
+        request_head.team = "team";
     }
 
     const entry::exchange_head& head() const override
     {
-        return head_;
+        return request_head;
     }
 
     void read_body(body_handler handler) override
@@ -83,7 +83,7 @@
     {
     }
 
-    entry::exchange_head head_;
+    entry::exchange_head request_head;
     unsigned status = 0;
     std::string text;
     bool done = false;
@@ -258,7 +258,7 @@
     fake_exchange_ptr call_once(const std::string& key, std::string body)
     {
         fake_exchange_ptr request(new fake_exchange(context_, std::move(body)));
-        request->head_.target = "/v1/services/s/once";
+        request->request_head.target = "/v1/services/s/once";
         boost::asio::co_spawn(
             context_,
             calls->run(request, "s", entry::make_call_id("team", "s", key, 2)),
--- a/test/entry/test_batch_streams.cpp
+++ b/test/entry/test_batch_streams.cpp
@@ -35,8 +35,10 @@
         proto::PartitionEntry it;
         it.mutable_job_cancel()->set_job_id(std::string(bytes, 'x'));
         return appender->push(
-            std::move(it), [this](std::error_code ec, entry::record_position at)
-            { results.emplace_back(ec, at); });
+            std::move(it),
+            [this](std::error_code ec, entry::record_position at) {
+                results.push_back({ec, at});
+            });
     }
 
     proto::PartitionRecord record(std::size_t i)
@@ -240,8 +242,9 @@
         proto::PartitionEntry it;
         it.mutable_intent()->set_call_id("call-" + std::to_string(i));
         it.mutable_intent()->set_content_hash("x");
-        BOOST_TEST(owner.appender()->push(std::move(it),
-                                          [&](auto, auto) { ++recorded; }));
+        const bool pushed = owner.appender()->push(
+            std::move(it), [&](auto, auto) { ++recorded; });
+        BOOST_TEST(pushed);
         BOOST_TEST(test::run_until(context, [&] { return recorded == i + 1; }));
     }
     int checkpoints = 0;
