--- a/src/platform/http_target.cpp
+++ b/src/platform/http_target.cpp
@@ -199,7 +199,11 @@
             asio::redirect_error(asio::use_awaitable, ec));
         if (ec || cancelled_)
         {
-            fail(sent_ ? result_code::connection_lost : result_code::no_target);
+            // A deadline that passes says nothing about the target.
+            const bool late = common_clock::now() >= deadline_;
+            fail(sent_  ? result_code::connection_lost
+                 : late ? result_code::deadline_before_start
+                        : result_code::no_target);
             co_return false;
         }
         stream.socket().set_option(tcp::no_delay(true), ec);
@@ -264,13 +268,15 @@
         sse_parser sse([this](std::string_view data) { event(data); },
                        pool_->settings().max_answer_bytes);
 
+        // `async_read` would wait until the piece is full, and so hold back
+        // events that have arrived.
         std::array<char, read_bytes> piece;
         while (!in.is_done())
         {
             error_code ec;
             in.get().body().data = piece.data();
             in.get().body().size = piece.size();
-            co_await http::async_read(
+            co_await http::async_read_some(
                 connection_->stream, connection_->buffer, in,
                 asio::redirect_error(asio::use_awaitable, ec));
             if (ec && ec != http::error::need_buffer)
--- a/test/integration/fleet.hpp
+++ b/test/integration/fleet.hpp
@@ -50,6 +50,9 @@
     /// Makes a call to the operators' listener of entry `n`.
     cli::api_answer operate(int entry, const cli::api_request& request) const;
 
+    /// Ticket 2, which says that a target is leaving.
+    cli::api_request leaving_ticket(const std::string& target) const;
+
     /// Submits a job and returns its id; repeats a submission that was not
     /// run. Throws when it is not accepted in time.
     std::string submit(int entry, const std::string& key,
@@ -108,10 +111,17 @@
 constexpr std::string_view team_key = "example-key-consegne";
 constexpr std::string_view operator_key = "example-operator-key-fondazione";
 
+/// A chat request.
+cli::api_request chat(const std::string& content, int tokens,
+                      bool stream = false);
+
 /// Body of a chat request.
 std::string chat_body(const std::string& content, int tokens,
                       bool stream = false);
 
+/// The text in the chunks of a streamed answer; empty without "[DONE]".
+std::string streamed_text(const std::string& body);
+
 /// A job of `count` chat items with custom_ids "item-0" and so on, each with
 /// the content "crate N".
 std::string job_lines(int count, int tokens);
