--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -5,6 +5,7 @@
 #include "entry/async_call.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/assert.hpp>
 #include <boost/asio/post.hpp>
 
 #include <utility>
@@ -212,25 +213,27 @@
             set({ec, position});
         };
 
-    const auto find_appender = [&owner, claim]
-    {
-        const bool held = owner.is_held() && owner.claim_offset() == claim;
-        return held ? owner.appender() : nullptr;
-    };
-    auto* appender = find_appender();
-    while (appender != nullptr && !appender->has_room())
+    // Wait for room in the queue.
+    for (;;)
     {
+        if (!owner.is_held() || owner.claim_offset() != claim)
+            co_return recorded_entry{result_code::stale_claim, {}};
+        auto* appender = owner.appender();
+        if (entry.ByteSizeLong() > appender->max_entry_bytes())
+            co_return recorded_entry{result_code::body_too_large, {}};
+        if (appender->has_room())
+            break;
         timed_result<bool> room(parts_.context.get_executor());
         appender->wait_for_room([set = room.setter()] { set(true); });
         if (co_await room.wait(deadline) == nullptr)
             co_return recorded_entry{result_code::log_unavailable, {}};
-        appender = find_appender();
     }
-    if (appender == nullptr)
-        co_return recorded_entry{result_code::stale_claim, {}};
-    if (!appender->push(std::move(entry), handler))
-        co_return recorded_entry{result_code::body_too_large, {}};
-    if (!wait)
+
+    // Nothing else ran since the last check.
+    const bool pushed =
+        owner.appender()->push(std::move(entry), std::move(handler));
+    BOOST_ASSERT(pushed);
+    if (!wait || !pushed)
         co_return recorded_entry{};
     const auto* result = co_await recorded.wait(deadline);
     if (result == nullptr)
--- a/src/entry/stream_appender.hpp
+++ b/src/entry/stream_appender.hpp
@@ -82,6 +82,12 @@
     void
     insert_when_idle(std::function<std::vector<proto::PartitionEntry>()> make);
 
+    /// Whether `push` accepts an entry now.
+    bool has_room() const
+    {
+        return bytes_ < settings_.max_queued_bytes;
+    }
+
     /// Calls `handler` once when `push` accepts entries again.
     void wait_for_room(std::function<void()> handler);
 
@@ -103,12 +109,6 @@
         return failing_;
     }
 
-    /// Whether `push` accepts entries that fit into a record.
-    bool has_room() const
-    {
-        return bytes_ < settings_.max_queued_bytes;
-    }
-
     /// Number of append calls.
     std::uint64_t appends() const
     {
