Keep forwarding to the last known holder right after an outage

After an outage of the log, no heartbeat is younger than a lease until the holders have written again, so that entries refused calls for partitions of others for up to two seconds although nobody may take a partition over in that time. The last known holder counts for one lease after reads succeed again.

--- a/scripts/measure-batch.sh
+++ b/scripts/measure-batch.sh
@@ -50,7 +50,13 @@
 state() { # entry
     curl -s -m 5 -H "$key" "http://127.0.0.1:$((base + 10 * $1))/v1/batches/$job"
 }
-completed() { state "$1" | grep -o '"completed":[0-9]*' | cut -d: -f2; }
+
+# Completed items; 0 when the entry can't tell.
+completed() {
+    local n
+    n=$(state "$1" | grep -o '"completed":[0-9]*' | cut -d: -f2) || true
+    echo "${n:-0}"
+}
 
 wait_done() { # entry; at most 10 minutes
     for _ in $(seq 1200); do
--- a/src/entry/control_follower.cpp
+++ b/src/entry/control_follower.cpp
@@ -310,11 +310,13 @@
 {
     const auto& holder = table_.holder(partition);
     const auto now = common::clock::now();
-    // While the log can't be read, the last known holder goes on serving.
+    // While the log can't be read, and until heartbeats had the time to come
+    // again, the last known holder goes on serving.
+    const bool outdated =
+        !reading_since_ || now - *reading_since_ < settings_.lease_duration;
     const bool known =
-        reading_since_
-            ? table_.is_held(partition, now, settings_.lease_duration)
-            : !holder.entry.empty() && !holder.released;
+        outdated ? !holder.entry.empty() && !holder.released
+                 : table_.is_held(partition, now, settings_.lease_duration);
     if (!known || holder.entry == settings_.entry)
         return std::nullopt;
     return holder.address;
