--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -5,8 +5,8 @@
 #include "entry/async_call.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/assert.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/assert.hpp>
 
 #include <utility>
 
