Await outside of conditions; bound bodies; remove a setting without effect

Cause: g++ 12 generated wrong code for co_await inside a condition in the client of targets; the same form stood in six other places. routing.hedging had no effect. A request body above the message limit between processes was accepted by the settings and would have failed on its way.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -10,6 +10,9 @@
 constexpr std::int64_t hour_ms = 3600000;
 constexpr std::int64_t max_bytes = 1LL << 32;
 
+/// A request has to fit into one message to its agent, with its head.
+constexpr std::int64_t max_body_bytes = 3LL * 1024 * 1024;
+
 void add_process(setting_table& table, settings& it)
 {
     table.add_choice("role", it.role, {"entry", "agent"},
@@ -58,8 +61,8 @@
                       "requests in progress; further ones get overloaded");
     table.add_integer("front.max_header_bytes", it.max_header_bytes, 1024,
                       1048576, "header of a request");
-    table.add_integer("front.max_body_bytes", it.max_body_bytes, 1024, 67108864,
-                      "body of a request other than a job");
+    table.add_integer("front.max_body_bytes", it.max_body_bytes, 1024,
+                      max_body_bytes, "body of a request other than a job");
     table.add_integer("front.max_line_bytes", it.max_line_bytes, 256, 16777216,
                       "line of a job");
     table.add_integer("front.max_job_bytes", it.max_job_bytes, 1024, max_bytes,
@@ -145,8 +148,6 @@
                       "targets that an entry connects to for each model");
     table.add_real("routing.retry_budget", it.retry_budget, 0, 1,
                    "retries for each request, on average");
-    table.add_choice("routing.hedging", it.hedging, {"off", "on"},
-                     "second attempt for late repeatable requests");
     table.add_choice("routing.slow_targets", it.slow_targets,
                      {"avoid", "ignore"},
                      "whether slow targets get less; ignore is the baseline");
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -85,7 +85,6 @@
     std::string policy = "two_choices";
     std::uint32_t subset_size = 20;
     double retry_budget = 0.1;
-    std::string hedging = "off";
     std::string slow_targets = "avoid";
     std::uint32_t max_attempts = 3;
     double default_requests_per_second = 50;
--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -225,7 +225,8 @@
             break;
         timed_result<bool> room(parts_.context.get_executor());
         appender->wait_for_room([set = room.setter()] { set(true); });
-        if (co_await room.wait(deadline) == nullptr)
+        const auto* has_room = co_await room.wait(deadline);
+        if (has_room == nullptr)
             co_return recorded_entry{result_code::log_unavailable, {}};
     }
 
--- a/src/entry/job_answers.cpp
+++ b/src/entry/job_answers.cpp
@@ -249,7 +249,9 @@
             request->start_answer({200, "application/jsonl"});
         if (piece.empty())
             break;
-        if (co_await write_piece(request, std::move(piece)))
+        const auto write_error =
+            co_await write_piece(request, std::move(piece));
+        if (write_error)
         {
             request->abort();
             co_return;
--- a/src/entry/once_calls.cpp
+++ b/src/entry/once_calls.cpp
@@ -283,7 +283,8 @@
     }
     // The caller gets the answer in any case; without a record, a later call
     // with the same key is told that it may have run.
-    if (!co_await record_outcome(it, std::move(outcome)))
+    const bool recorded = co_await record_outcome(it, std::move(outcome));
+    if (!recorded)
         common::log_warning(
             "outcome_not_recorded",
             {{"call", it.id.id}, {"request_id", request->head().request_id}});
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -101,9 +101,15 @@
     stream_.socket().set_option(
         asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
 
-    while (co_await wait_for_request())
+    for (;;)
     {
-        if (!co_await read_head())
+        // Awaited outside the conditions: g++ 12 has generated wrong code for
+        // co_await inside a condition.
+        const bool waiting = co_await wait_for_request();
+        if (!waiting)
+            break;
+        const bool has_head = co_await read_head();
+        if (!has_head)
             break;
         co_await serve();
         const bool unread = !broken_ && !current_->body_complete;
@@ -278,7 +284,8 @@
     if (state->head.content_length > state->max_body_bytes)
         co_return deliver(make_error_code(result_code::body_too_large), {},
                           false);
-    if (!co_await send_continue())
+    const bool continues = co_await send_continue();
+    if (!continues)
         co_return;
 
     std::string piece(piece_bytes, '\0');
@@ -475,7 +482,8 @@
     const auto answer =
         error_answer(rejection(code), current_->head.request_id);
     const auto out = head_text(answer.head, answer.body.size()) + answer.body;
-    if (co_await write_all(out))
+    const bool written = co_await write_all(out);
+    if (written)
         co_await drain();
     current_.reset();
 }
