--- a/src/entry/partition_owner.cpp
+++ b/src/entry/partition_owner.cpp
@@ -12,6 +12,15 @@
 namespace tanagertrack::entry
 {
 
+namespace
+{
+
+/// Bytes appended between two checkpoints, for each byte of the state. Keeps
+/// the share of checkpoints in the stream small when the state is large.
+constexpr std::size_t checkpoint_state_ratio = 2;
+
+} // namespace
+
 std::string batch_stream(std::uint32_t partition)
 {
     return "batch-" + std::to_string(partition);
@@ -286,12 +295,19 @@
     (void)appender_->push_bounded(std::move(entry), {});
 }
 
+bool partition_owner::checkpoint_is_due() const
+{
+    if (records_since_checkpoint_ >= settings_.checkpoint_records)
+        return true;
+    if (bytes_since_checkpoint_ < settings_.checkpoint_bytes)
+        return false;
+    return bytes_since_checkpoint_ >=
+           checkpoint_state_ratio * state_.memory_bytes();
+}
+
 void partition_owner::write_checkpoint_if_due()
 {
-    const bool due =
-        records_since_checkpoint_ >= settings_.checkpoint_records ||
-        bytes_since_checkpoint_ >= settings_.checkpoint_bytes;
-    if (due)
+    if (checkpoint_is_due())
         write_checkpoint();
 }
 
--- a/src/entry/partition_owner.hpp
+++ b/src/entry/partition_owner.hpp
@@ -152,6 +152,7 @@
     void note_claim(const state::claim_info& current);
     void become_held();
     void become_idle();
+    bool checkpoint_is_due() const;
     void write_checkpoint_if_due();
 
     boost::asio::io_context& context_;
