Print answers of the command-line tool in one place; time a ticket

Cause: job and operator commands had the same function but for the printer. The time until a configuration is in effect everywhere was not measured.

Change: print_answer takes the printer. scripts/measure-idle.sh hands in a second ticket and waits until every entry shows its version at every agent.

--- a/scripts/measure-idle.sh
+++ b/scripts/measure-idle.sh
@@ -8,7 +8,9 @@
 # without engines behind the agents; waits until the first entry knows all
 # agents, and watches for SECONDS (default 30). Prints a row of a Markdown
 # table: engines, entries, partitions, then for an entry and for an agent
-# processor time, resident MB, bytes/s sent and bytes/s received.
+# processor time, resident MB, bytes/s sent and bytes/s received; last the
+# milliseconds from handing in a second ticket until all agents report its
+# version to all entries.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -20,6 +22,7 @@
 ip=127.0.0.1
 work=$(mktemp -d)
 pids=()
+operator_key=example-operator-key-fondazione
 
 stop_all() {
     local status=$? pid
@@ -90,7 +93,7 @@
         grep -q "^tanagertrack_targets_connected $engines$"
 }
 until build/tanagertrack ticket apply --operator "$ip:$((base + 11))" \
-    --key example-operator-key-fondazione "$work/fleet/ticket-1.yaml" \
+    --key "$operator_key" "$work/fleet/ticket-1.yaml" \
     >/dev/null 2>&1 && ready; do
     [ "$SECONDS" -lt "$deadline" ] || { echo "gave up" >&2; exit 1; }
     sleep 0.2
@@ -102,11 +105,33 @@
 sleep "$seconds"
 after=$(counters)
 
+# Waits until an entry shows the version at all of its agents.
+wait_for_version() { # entry version
+    local url="http://$ip:$((base + 10 * $1 + 1))/operator/targets" n=0
+    until [ "$n" -eq "$engines" ]; do
+        [ "$SECONDS" -lt "$deadline" ] || { echo "gave up" >&2; exit 1; }
+        n=$(curl -s -H "Authorization: Bearer $operator_key" "$url" |
+            grep -o "\"config_version\":$2[,}]" | wc -l)
+    done
+}
+
+sed 's/^ticket: 1/ticket: 2/' "$work/fleet/ticket-1.yaml" >"$work/ticket-2.yaml"
+deadline=$((SECONDS + 30))
+handed_in=$(date +%s%N)
+version=$(build/tanagertrack ticket apply --output json \
+    --operator "$ip:$((base + 11))" --key "$operator_key" \
+    "$work/ticket-2.yaml" | grep -o '"offset":[0-9]*' | cut -d: -f2)
+for n in $(seq "$entries"); do
+    wait_for_version "$n" "$version"
+done
+in_effect_ms=$((($(date +%s%N) - handed_in) / 1000000))
+
 echo "$before $after" | awk -v s="$seconds" -v hz="$(getconf CLK_TCK)" \
-    -v head="| $engines | $entries | $partitions |" '{
+    -v head="| $engines | $entries | $partitions |" \
+    -v in_effect_ms="$in_effect_ms" '{
     printf "%s", head
     for (i = 1; i <= 5; i += 4)
         printf " %.2f%% | %.1f | %d | %d |", ($(i + 8) - $i) / hz / s * 100,
             $(i + 11) / 1024, ($(i + 9) - $(i + 1)) / s,
             ($(i + 10) - $(i + 2)) / s
-    print ""}'
+    print " " in_effect_ms " |"}'
--- a/src/cli/job_commands.cpp
+++ b/src/cli/job_commands.cpp
@@ -54,19 +54,6 @@
         << " cancelled\n";
 }
 
-/// Prints a job object in the form asked for.
-int print_answer(const options& args, const api_answer& answer,
-                 const command_context& context)
-{
-    if (!succeeded(answer))
-        return report_failure(answer, context.err);
-    if (args.json())
-        context.out << answer.body << '\n';
-    else
-        print_job(parse_object(answer.body), context.out);
-    return exit_ok;
-}
-
 std::string job_path(const options& args)
 {
     return "/v1/batches/" + args.value("JOB");
@@ -117,7 +104,7 @@
     request.content_type = "application/jsonl";
     request.idempotency_key = key;
     request.body_file = file;
-    return print_answer(args, args.client().call(request), context);
+    return print_answer(args, args.client().call(request), context, print_job);
 }
 
 int list(arguments words, const command_context& context)
@@ -154,7 +141,7 @@
     if (const auto status = args.parse(std::move(words)))
         return *status;
     const auto answer = args.client().call({.target = job_path(args)});
-    return print_answer(args, answer, context);
+    return print_answer(args, answer, context, print_job);
 }
 
 /// Exit status for a job that has ended; nothing while it goes on.
@@ -187,7 +174,7 @@
         if (!succeeded(answer))
             return report_failure(answer, context.err);
         if (answer.body != last)
-            print_answer(args, answer, context);
+            print_answer(args, answer, context, print_job);
         context.out.flush();
         last = answer.body;
         if (const auto status = ended_status(parse_object(answer.body)))
@@ -223,7 +210,7 @@
     api_request request;
     request.method = "POST";
     request.target = job_path(args) + "/cancel";
-    return print_answer(args, args.client().call(request), context);
+    return print_answer(args, args.client().call(request), context, print_job);
 }
 
 } // namespace
--- a/src/cli/operator_commands.cpp
+++ b/src/cli/operator_commands.cpp
@@ -28,19 +28,6 @@
             << member_text(object, it.key()) << '\n';
 }
 
-/// Prints an object as JSON or as lines, or the failure.
-int print_answer(const options& args, const api_answer& answer,
-                 const command_context& context)
-{
-    if (!succeeded(answer))
-        return report_failure(answer, context.err);
-    if (args.json())
-        context.out << answer.body << '\n';
-    else
-        print_members(parse_object(answer.body), context.out);
-    return exit_ok;
-}
-
 int ticket_apply(arguments words, const command_context& context)
 {
     options args("ticket apply",
@@ -64,7 +51,8 @@
     request.target = "/operator/tickets";
     request.content_type = "application/yaml";
     request.body = body.str();
-    return print_answer(args, args.client().call(request), context);
+    return print_answer(args, args.client().call(request), context,
+                        print_members);
 }
 
 int ticket_status(arguments words, const command_context& context)
@@ -76,7 +64,7 @@
         return *status;
     const auto answer = args.client().call(
         {.target = "/operator/tickets/" + args.value("NUMBER")});
-    return print_answer(args, answer, context);
+    return print_answer(args, answer, context, print_members);
 }
 
 /// Prints the array member "targets" as a table.
@@ -107,7 +95,7 @@
         return *status;
     const auto answer = args.client().call({.target = "/operator/targets"});
     if (!succeeded(answer) || args.json())
-        return print_answer(args, answer, context);
+        return print_answer(args, answer, context, print_members);
     print_targets(parse_object(answer.body), context.out);
     return exit_ok;
 }
@@ -118,8 +106,9 @@
                  context);
     if (const auto status = args.parse(std::move(words)))
         return *status;
-    return print_answer(
-        args, args.client().call({.target = "/operator/status"}), context);
+    return print_answer(args,
+                        args.client().call({.target = "/operator/status"}),
+                        context, print_members);
 }
 
 } // namespace
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -1,5 +1,6 @@
 #include "cli/options.hpp"
 
+#include "cli/answers.hpp"
 #include "cli/exit_status.hpp"
 
 #include <tclap/CmdLine.h>
@@ -165,4 +166,16 @@
     return api_client(impl_->api);
 }
 
+int print_answer(const options& args, const api_answer& answer,
+                 const command_context& context, const object_printer& print)
+{
+    if (!succeeded(answer))
+        return report_failure(answer, context.err);
+    if (args.json())
+        context.out << answer.body << '\n';
+    else
+        print(parse_object(answer.body), context.out);
+    return exit_ok;
+}
+
 } // namespace tanagertrack::cli
--- a/src/cli/options.hpp
+++ b/src/cli/options.hpp
@@ -4,6 +4,9 @@
 #include "cli/api_client.hpp"
 #include "cli/command.hpp"
 
+#include <boost/json/object.hpp>
+
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,6 +70,15 @@
     std::unique_ptr<impl> impl_;
 };
 
+/// Prints the object of an answer as text.
+using object_printer =
+    std::function<void(const boost::json::object& object, std::ostream& out)>;
+
+/// Prints a successful answer as JSON or with `print`, another one as its
+/// failure. Returns the exit status.
+int print_answer(const options& args, const api_answer& answer,
+                 const command_context& context, const object_printer& print);
+
 } // namespace tanagertrack::cli
 
 #endif
