--- a/scripts/measure-idle.sh
+++ b/scripts/measure-idle.sh
@@ -4,7 +4,7 @@
 #
 #   scripts/measure-idle.sh ENGINES [SECONDS [ENTRIES [PARTITIONS]]]
 #
-# Starts ENTRIES entries (default 2) and ENGINES agents, at most 150 processes,
+# Starts ENTRIES entries (default 2) and ENGINES agents, at most 250 processes,
 # without engines behind the agents; waits until the first entry knows all
 # agents, and watches for SECONDS (default 30). Prints a row of a Markdown
 # table: engines, entries, partitions, then for an entry and for an agent
