--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -94,7 +94,7 @@
         return out;
     }
     start_online(out, now);
-    refuse_hopeless(out, now);
+    refuse_late(out, now);
     mark_long(now);
     preempt_long(out, now);
     start_batch(out, now);
@@ -174,7 +174,7 @@
                   });
 }
 
-void admission::refuse_hopeless(actions& out, time_point now)
+void admission::refuse_late(actions& out, time_point now)
 {
     // Request n in the queue starts when n slots were freed; each slot is
     // freed once in the usual time of a request.
@@ -185,9 +185,9 @@
                   {
                       const double wait =
                           per_slot * static_cast<double>(position + 1);
-                      const bool hopeless =
+                      const bool late =
                           wait > seconds_between(now, it.deadline);
-                      if (hopeless || position >= settings_.max_queued_online)
+                      if (late || position >= settings_.max_queued_online)
                       {
                           out.push_back({admission_action::kind::refuse, it.id,
                                          result_code::overloaded});
--- a/src/agent/admission.hpp
+++ b/src/agent/admission.hpp
@@ -186,7 +186,7 @@
     using queue = std::deque<admission_request>;
 
     void refuse_late(queue& from, actions& out, common::time_point now);
-    void refuse_hopeless(actions& out, common::time_point now);
+    void refuse_late(actions& out, common::time_point now);
     void start_online(actions& out, common::time_point now);
     void start_batch(actions& out, common::time_point now);
     void start_fifo(actions& out, common::time_point now);
--- a/src/entry/batch_core.cpp
+++ b/src/entry/batch_core.cpp
@@ -129,8 +129,10 @@
             return;
     stop_told_ = true;
     // Not within a hook of an owner.
-    boost::asio::post(parts_.context, [self = shared_from_this()]
-                      { self->control_->say_farewell(self->stopped_); });
+    boost::asio::post(parts_.context,
+                      [self = shared_from_this()] {
+                          self->control_->write_final_heartbeat(self->stopped_);
+                      });
 }
 
 void batch_core::note_held(std::uint32_t partition)
--- a/src/entry/control_follower.cpp
+++ b/src/entry/control_follower.cpp
@@ -393,18 +393,18 @@
 {
     beat_in_flight_ = false;
     beat_failed_ = static_cast<bool>(ec);
-    if (!farewell_)
+    if (!final_heartbeat_written_)
         return;
     // The heartbeat that was under way may still have named partitions.
     if (std::exchange(beat_wanted_, false))
         send_beat(common::clock::now());
     else
-        std::exchange(farewell_, nullptr)();
+        std::exchange(final_heartbeat_written_, nullptr)();
 }
 
-void control_follower::say_farewell(std::function<void()> written)
+void control_follower::write_final_heartbeat(std::function<void()> written)
 {
-    farewell_ = std::move(written);
+    final_heartbeat_written_ = std::move(written);
     beat_wanted_ = beat_in_flight_;
     if (!beat_in_flight_)
         send_beat(common::clock::now());
--- a/src/entry/control_follower.hpp
+++ b/src/entry/control_follower.hpp
@@ -56,7 +56,7 @@
 
     /// Writes a last heartbeat, which shows that no partition is held, and
     /// calls `written` whether it was appended or not.
-    void say_farewell(std::function<void()> written);
+    void write_final_heartbeat(std::function<void()> written);
 
     /// Whether the lease that heartbeats prove has not ended.
     bool has_lease() const;
@@ -142,7 +142,7 @@
     common::time_point lease_end_ = common::time_point::min();
     common::time_point last_release_;
     bool leaving_ = false;
-    std::function<void()> farewell_;
+    std::function<void()> final_heartbeat_written_;
 
     /// Expires with this object; guards answers that are on their way.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/entry/job_answers.cpp
+++ b/src/entry/job_answers.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t max_listed_jobs = 1000;
 
 /// Time that a cancel waits for the log.
-constexpr std::chrono::seconds cancel_patience{10};
+constexpr std::chrono::seconds cancel_timeout{10};
 
 constexpr std::uint64_t ms_per_s = 1000;
 
@@ -273,7 +273,7 @@
         entry.mutable_job_cancel()->set_job_id(job_id);
         const auto done =
             co_await core->record(partition, claim, std::move(entry),
-                                  common::clock::now() + cancel_patience);
+                                  common::clock::now() + cancel_timeout);
         if (done.ec)
         {
             http::rejection why(common::to_result_code(done.ec));
--- a/src/entry/job_intake.cpp
+++ b/src/entry/job_intake.cpp
@@ -19,7 +19,7 @@
 {
 
 /// Time that an intake waits for the log, for each append.
-constexpr std::chrono::seconds log_patience{10};
+constexpr std::chrono::seconds log_timeout{10};
 
 /// Room in a chunk for its job id and headers.
 constexpr std::size_t chunk_overhead_bytes = 512;
@@ -202,7 +202,7 @@
     chunk.set_intake(intake_);
     chunk.set_first_item(appended_);
     appended_ += static_cast<std::uint32_t>(chunk.items_size());
-    const auto deadline = common::clock::now() + log_patience;
+    const auto deadline = common::clock::now() + log_timeout;
     const auto done = co_await core_->record(id_.partition, claim_,
                                              std::move(entry), deadline, false);
     if (done.ec == result_code::stale_claim)
@@ -237,7 +237,7 @@
     commit.set_created_ms(now);
     commit.set_keep_until_ms(now +
                              static_cast<std::uint64_t>(retention.count()));
-    const auto deadline = common::clock::now() + log_patience;
+    const auto deadline = common::clock::now() + log_timeout;
     const auto done = co_await core_->record(id_.partition, claim_,
                                              std::move(entry), deadline);
     if (done.ec == result_code::stale_claim)
--- a/src/entry/once_calls.cpp
+++ b/src/entry/once_calls.cpp
@@ -23,7 +23,7 @@
 {
 
 /// Time that a call waits for the log before and after it runs.
-constexpr std::chrono::seconds log_patience{10};
+constexpr std::chrono::seconds log_timeout{10};
 
 /// Time after the deadline of an attempt in which its end must come.
 constexpr std::chrono::seconds deadline_grace{2};
@@ -190,7 +190,7 @@
     intent.set_content_hash(it.content_hash);
     const auto done =
         co_await core_->record(it.id.partition, it.claim, std::move(entry),
-                               common::clock::now() + log_patience);
+                               common::clock::now() + log_timeout);
     auto& owner = core_->owner(it.id.partition);
     const auto* known = done.ec ? nullptr : owner.state().find_call(it.id.id);
     if (known == nullptr || owner.claim_offset() != it.claim)
@@ -299,7 +299,7 @@
     *entry.mutable_outcome() = std::move(outcome);
     const auto done =
         co_await core_->record(it.id.partition, it.claim, std::move(entry),
-                               common::clock::now() + log_patience);
+                               common::clock::now() + log_timeout);
     co_return !done.ec;
 }
 
@@ -308,7 +308,7 @@
     proto::PartitionEntry entry;
     entry.mutable_job_forget()->set_job_id(it.id.id);
     co_await core_->record(it.id.partition, it.claim, std::move(entry),
-                           common::clock::now() + log_patience);
+                           common::clock::now() + log_timeout);
 }
 
 } // namespace tanagertrack::entry
--- a/src/entry/retention_keeper.cpp
+++ b/src/entry/retention_keeper.cpp
@@ -27,7 +27,7 @@
 /// Bytes of results that are appended again at a time.
 constexpr std::size_t move_bytes = 64 * 1024;
 
-constexpr std::chrono::seconds append_patience{10};
+constexpr std::chrono::seconds append_timeout{10};
 
 } // namespace
 
@@ -281,7 +281,7 @@
         co_return false;
     const auto done = co_await core_->record(
         partition, ages_.at(partition).claim, std::move(entry),
-        common::clock::now() + append_patience);
+        common::clock::now() + append_timeout);
     co_return !done.ec;
 }
 
--- a/src/entry/ticket_submitter.cpp
+++ b/src/entry/ticket_submitter.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t max_open_records = 64;
 
 /// Time after which an operator is told that the log did not answer.
-constexpr auto patience = std::chrono::seconds(10);
+constexpr auto submit_timeout = std::chrono::seconds(10);
 
 /// Time between looks at a record that was appended and not read back.
 constexpr auto read_back_interval = std::chrono::milliseconds(500);
@@ -59,7 +59,7 @@
     it.sequence = sequence_;
     it.data = record.SerializeAsString();
     it.handler = std::move(handler);
-    it.give_up = common::clock::now() + patience;
+    it.give_up = common::clock::now() + submit_timeout;
     records_.push_back(std::move(it));
     if (records_.size() == 1)
         append();
--- a/src/platform/http_target.cpp
+++ b/src/platform/http_target.cpp
@@ -142,7 +142,7 @@
             });
     }
 
-    /// Ends the call; the caller hears nothing more. The hooks stay alive
+    /// Ends the call; no hook is called afterwards. The hooks stay alive
     /// until the coroutine ends: one of them may be the caller.
     void cancel()
     {
--- a/test/entry/test_batch_core.cpp
+++ b/test/entry/test_batch_core.cpp
@@ -460,7 +460,7 @@
 
 // Guards against endless attempts, repeated targets, refusals that count as
 // attempts, and failures without their reason.
-BOOST_AUTO_TEST_CASE(hopeless_items_fail_with_reason)
+BOOST_AUTO_TEST_CASE(failing_items_end_with_reason)
 {
     BOOST_TEST_REQUIRE(until([&] { return first.holds_all(); }));
     int refusals = 0;
