Meet the weight store and the host list through one GET client

Cause: the platform's weight store had a stand-in but no interface on our side, and the host list's client was written for one call.

Change: http_get makes one bounded GET; http_host_list and the new http_weight_store speak their protocols on it. The scripted server of the log client's tests has a file of its own.

Ruled out: a keep-alive pool; both are asked seldom.

--- a/src/platform/http_host_list.cpp
+++ b/src/platform/http_host_list.cpp
@@ -1,16 +1,7 @@
 #include "common/result_code.hpp"
 #include "platform/host_list.hpp"
+#include "platform/http_get.hpp"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
 #include <chrono>
@@ -22,10 +13,6 @@
 namespace
 {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using boost::system::error_code;
 using common::result_code;
 
 using fetch_handler =
@@ -39,7 +26,7 @@
 /// Reads the JSON list; false when it is not valid.
 bool parse_hosts(std::string_view text, std::vector<listed_host>& out)
 {
-    error_code ec;
+    boost::system::error_code ec;
     const auto value = boost::json::parse(text, ec);
     if (ec || !value.is_array())
         return false;
@@ -59,36 +46,14 @@
     return true;
 }
 
-asio::awaitable<void> fetch(asio::io_context& context, common::endpoint address,
-                            fetch_handler handler)
+void finish(std::error_code ec, const get_answer& answer,
+            const fetch_handler& handler)
 {
-    beast::tcp_stream stream(context);
-    beast::flat_buffer buffer;
-    http::request<http::empty_body> request(http::verb::get, "/hosts", 11);
-    request.set(http::field::host, common::to_string(address));
-    request.set(http::field::connection, "close");
-    http::response_parser<http::string_body> answer;
-    answer.body_limit(max_list_bytes);
-
-    error_code ec;
-    const auto token = [&ec]
-    {
-        return asio::redirect_error(asio::use_awaitable, ec);
-    };
-    const auto ip = asio::ip::make_address(address.address, ec);
-    stream.expires_after(fetch_timeout);
-    if (!ec)
-        co_await stream.async_connect(asio::ip::tcp::endpoint(ip, address.port),
-                                      token());
-    if (!ec)
-        co_await http::async_write(stream, request, token());
-    if (!ec)
-        co_await http::async_read(stream, buffer, answer, token());
-
+    constexpr unsigned http_ok = 200;
     std::vector<listed_host> hosts;
-    if (ec || answer.get().result() != http::status::ok)
+    if (ec || answer.status != http_ok)
         handler(result_code::connection_lost, {});
-    else if (!parse_hosts(answer.get().body(), hosts))
+    else if (!parse_hosts(answer.body, hosts))
         handler(result_code::protocol_error, {});
     else
         handler({}, std::move(hosts));
@@ -96,14 +61,16 @@
 
 } // namespace
 
-host_list make_http_host_list(asio::io_context& context,
+host_list make_http_host_list(boost::asio::io_context& context,
                               common::endpoint address)
 {
     host_list list;
     list.fetch = [&context, address = std::move(address)](fetch_handler handler)
     {
-        asio::co_spawn(context, fetch(context, address, std::move(handler)),
-                       asio::detached);
+        http_get(context, {address, "/hosts", max_list_bytes, fetch_timeout},
+                 [handler = std::move(handler)](std::error_code ec,
+                                                const get_answer& answer)
+                 { finish(ec, answer, handler); });
     };
     return list;
 }
--- a/test/platform/test_http_log.cpp
+++ b/test/platform/test_http_log.cpp
@@ -1,77 +1,22 @@
 #include "common/result_code.hpp"
 #include "platform/http_log.hpp"
+#include "platform/scripted_server.hpp"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
-#include <thread>
 
 using namespace tanagertrack;
 using boost::asio::ip::tcp;
 using common::result_code;
+using test::answer;
+using test::scripted_server;
 
 namespace
 {
 
-/// Answers the requests of one connection after the other with given bytes.
-class scripted_server
-{
-public:
-    /// Each inner list is one connection: an answer to each request; the
-    /// connection is closed after the last. An empty text closes unanswered.
-    explicit scripted_server(std::vector<std::vector<std::string>> script)
-        : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          thread_([this, script = std::move(script)] { run(script); })
-    {
-    }
-
-    ~scripted_server()
-    {
-        thread_.join();
-    }
-
-    common::endpoint address() const
-    {
-        return {"127.0.0.1", acceptor_.local_endpoint().port()};
-    }
-
-    std::vector<std::string> requests;
-
-private:
-    void run(const std::vector<std::vector<std::string>>& script)
-    {
-        for (const auto& connection : script)
-        {
-            tcp::socket socket(context_);
-            acceptor_.accept(socket);
-            for (const auto& answer : connection)
-            {
-                std::string buf;
-                boost::asio::read_until(
-                    socket, boost::asio::dynamic_buffer(buf), "\r\n\r\n");
-                requests.push_back(buf);
-                boost::asio::write(socket, boost::asio::buffer(answer));
-            }
-        }
-    }
-
-    boost::asio::io_context context_;
-    tcp::acceptor acceptor_;
-    std::thread thread_;
-};
-
-std::string answer(int status, const std::string& body,
-                   const std::string& headers = "")
-{
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 struct append_result
 {
     std::error_code ec;
