--- a/test/entry/test_batch_core.cpp
+++ b/test/entry/test_batch_core.cpp
@@ -399,6 +399,7 @@
          std::vector<std::pair<std::string, std::string>>{
              {"{", "line 4"},
              {"{\"custom_id\":\"\xff\"}", "line 4"},
+             {std::string(300UL * 1024, 'x'), "line_too_long"},
              {make_items(1, chat), "duplicate_custom_id"},
              {make_items(1, "/v1/else", 9), "unknown_path"},
              {make_items(1, "/v1/services/x/y", 9), "unknown_service"}})
