Open listeners and make connection options in one place each

Cause: both servers had the same steps to open an acceptor, and the agent and the entry the same function from settings to connection options.

Change: common::open_acceptor serves both servers; make_peer_options moved to transport and serves both roles.

--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -10,6 +10,7 @@
 #include "common/metrics.hpp"
 #include "http/http_server.hpp"
 #include "platform/http_target.hpp"
+#include "transport/peer_options.hpp"
 #include "transport/server.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -39,17 +40,6 @@
 
 constexpr std::size_t max_admin_connections = 64;
 
-transport::transport_settings
-make_transport_settings(const config::settings& from)
-{
-    transport::transport_settings to;
-    to.cluster_key = from.cluster_key;
-    to.send_buffer_bytes = from.peer.send_buffer_bytes;
-    to.ping_interval = from.peer.ping_interval;
-    to.ping_timeout = from.peer.ping_timeout;
-    return to;
-}
-
 platform::http_target_settings
 make_target_settings(const config::agent_settings& from)
 {
@@ -126,7 +116,7 @@
       work(peer.context(), settings, metrics, runner),
       hub(peer.context(), work),
       prober(peer.context(), settings.agent.target_address),
-      server(peer.context(), make_transport_settings(settings),
+      server(peer.context(), transport::make_peer_options(settings),
              [this](transport::message_stream_ptr stream)
              { accept(std::move(stream)); }),
       admin_server(admin.context(), make_admin_settings(),
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -11,10 +11,10 @@
 #include "entry/host_follower.hpp"
 #include "entry/online_router.hpp"
 #include "entry/operator_service.hpp"
-#include "entry/peer_options.hpp"
 #include "entry/target_pool.hpp"
 #include "http/http_server.hpp"
 #include "platform/http_log.hpp"
+#include "transport/peer_options.hpp"
 #include "transport/server.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -83,7 +83,7 @@
                                       log_settings(values))),
           pool(peer_thread.context(), values, metrics),
           router(values, metrics, pool, peer_thread),
-          puller(peer_thread.context(), make_peer_options(values),
+          puller(peer_thread.context(), transport::make_peer_options(values),
                  values.peer.entries,
                  [this](proto::ConfigPush push)
                  { follower.load(std::move(push)); }),
@@ -108,7 +108,8 @@
           operator_server(front_thread.context(), operator_http(),
                           [this](const http::http_exchange_ptr& it)
                           { operators.handle(it); }),
-          peer_server(peer_thread.context(), make_peer_options(values),
+          peer_server(peer_thread.context(),
+                      transport::make_peer_options(values),
                       [this](const transport::message_stream_ptr& it)
                       { handle_stream(it); })
     {
--- a/src/entry/forward_client.cpp
+++ b/src/entry/forward_client.cpp
@@ -3,9 +3,9 @@
 #include "common/duty_thread.hpp"
 #include "common/result_code.hpp"
 #include "entry/caller_exchange.hpp"
-#include "entry/peer_options.hpp"
 #include "http/error_answer.hpp"
 #include "proto/peer.pb.h"
+#include "transport/peer_options.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -259,7 +259,8 @@
 
 forward_client::forward_client(common::duty_thread& peer_thread,
                                const config::settings& settings)
-    : peer_thread_(peer_thread), options_(make_peer_options(settings))
+    : peer_thread_(peer_thread),
+      options_(transport::make_peer_options(settings))
 {
 }
 
--- a/src/entry/target_pool.cpp
+++ b/src/entry/target_pool.cpp
@@ -5,10 +5,10 @@
 #include "common/logging.hpp"
 #include "common/metrics.hpp"
 #include "common/result_code.hpp"
-#include "entry/peer_options.hpp"
 #include "entry/target_link.hpp"
 #include "routing/slow_target_detector.hpp"
 #include "routing/target_choice.hpp"
+#include "transport/peer_options.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -262,8 +262,8 @@
         update_gauge();
     };
     auto link = std::make_unique<target_link>(
-        context, make_peer_options(settings), settings.name, random(),
-        std::move(hooks));
+        context, transport::make_peer_options(settings), settings.name,
+        random(), std::move(hooks));
     *slot = link.get();
     link->far =
         routing::distance_between({settings.data_centre, settings.region},
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,12 +1,12 @@
 #include "http/http_server.hpp"
 
+#include "common/acceptor.hpp"
 #include "common/logging.hpp"
 #include "http/http_session.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -40,17 +40,7 @@
 
     std::error_code listen(const common::endpoint& local)
     {
-        error_code ec;
-        const auto address = asio::ip::make_address(local.address, ec);
-        const tcp::endpoint at(address, local.port);
-        if (!ec)
-            acceptor_.open(at.protocol(), ec);
-        if (!ec)
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
-        if (!ec)
-            acceptor_.bind(at, ec);
-        if (!ec)
-            acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+        const auto ec = common::open_acceptor(acceptor_, local);
         if (!ec)
             asio::co_spawn(context_, accept_all(shared_from_this()),
                            asio::detached);
--- a/src/entry/peer_options.cpp
+++ b/src/transport/peer_options.cpp
@@ -1,12 +1,11 @@
-#include "entry/peer_options.hpp"
+#include "transport/peer_options.hpp"
 
-namespace tanagertrack::entry
+namespace tanagertrack::transport
 {
 
-transport::transport_settings
-make_peer_options(const config::settings& settings)
+transport_settings make_peer_options(const config::settings& settings)
 {
-    transport::transport_settings options;
+    transport_settings options;
     options.cluster_key = settings.cluster_key;
     options.send_buffer_bytes = settings.peer.send_buffer_bytes;
     options.ping_interval = settings.peer.ping_interval;
@@ -14,4 +13,4 @@
     return options;
 }
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::transport
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -1,5 +1,6 @@
 #include "transport/server.hpp"
 
+#include "common/acceptor.hpp"
 #include "common/logging.hpp"
 #include "transport/session.hpp"
 
@@ -36,17 +37,7 @@
 
     std::error_code listen(const common::endpoint& local)
     {
-        boost::system::error_code ec;
-        const auto address = asio::ip::make_address(local.address, ec);
-        const tcp::endpoint at(address, local.port);
-        if (!ec)
-            acceptor_.open(at.protocol(), ec);
-        if (!ec)
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
-        if (!ec)
-            acceptor_.bind(at, ec);
-        if (!ec)
-            acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+        const auto ec = common::open_acceptor(acceptor_, local);
         if (!ec)
             accept();
         return ec;
