Give a ticket's verdict after its configuration is published

Cause: the verdict was given while the records of a read were applied, and the configuration was published after all of them. A caller's request sent right after 'accepted' could meet the old configuration at the same entry. Seen as a failure of front/team_over_its_limit_is_told_when_to_return, whose first request was then not counted for the team.

Change: verdicts are kept until the configuration was published.

Ruled out: publishing after each record, which would cost a starting entry one publication for each ticket that it reads; a longer wait in the test.

--- a/src/entry/config_follower.cpp
+++ b/src/entry/config_follower.cpp
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace tanagertrack::entry
 {
@@ -58,9 +59,14 @@
         hooks.on_records =
             [this](std::vector<platform::log_record> records, std::uint64_t)
         {
+            std::vector<state::ticket_verdict> verdicts;
             for (const auto& it : records)
-                apply(it);
+                apply(it, verdicts);
+
+            // Operators get their verdicts once this entry uses the ticket.
             share();
+            for (const auto& it : verdicts)
+                submitter.verdict_given(it);
         };
         hooks.on_gap = [this](std::uint64_t from, std::uint64_t first)
         {
@@ -84,7 +90,9 @@
             env.ask_peers();
     }
 
-    void apply(const platform::log_record& it)
+    /// Applies a record and adds the verdicts that follow from it.
+    void apply(const platform::log_record& it,
+               std::vector<state::ticket_verdict>& verdicts)
     {
         proto::ConfigRecord record;
         if (!record.ParseFromString(it.data))
@@ -97,13 +105,13 @@
         if (record.has_snapshot())
             schedule_snapshot(1);
         submitter.record_read(it.offset, record);
-        for (const auto& verdict : state.apply(it.offset, record))
+        for (auto& verdict : state.apply(it.offset, record))
         {
             common::log_info("ticket_judged",
                              {{"number", verdict.number},
                               {"offset", verdict.offset},
                               {"verdict", to_string(verdict.kind)}});
-            submitter.verdict_given(verdict);
+            verdicts.push_back(std::move(verdict));
         }
     }
 
