--- a/bench/agent_admission.cpp
+++ b/bench/agent_admission.cpp
@@ -4,7 +4,7 @@
 #include "common/clock.hpp"
 #include "common/endpoint.hpp"
 #include "common/hash.hpp"
-#include "platform/http_target.hpp"
+#include "services/http_target.hpp"
 #include "proto/peer.pb.h"
 #include "transport/client_connection.hpp"
 
@@ -86,7 +86,7 @@
 public:
     explicit entry_side(const admission_options& options)
         : options_(options), random_(options.seed), online_timer_(context_),
-          target_(platform::make_http_target(context_, engine_settings()))
+          target_(services::make_http_target(context_, engine_settings()))
     {
         transport::transport_settings settings;
         settings.cluster_key = options.key;
@@ -159,9 +159,9 @@
     }
 
 private:
-    platform::http_target_settings engine_settings() const
+    services::http_target_settings engine_settings() const
     {
-        platform::http_target_settings it;
+        services::http_target_settings it;
         it.address = options_.engine;
         it.max_answer_bytes = 64UL * 1024 * 1024;
         return it;
@@ -308,12 +308,12 @@
                      const std::string& body,
                      std::function<void(const std::string&)> done)
     {
-        platform::target_request it;
+        services::target_request it;
         it.method = method;
         it.path = path;
         it.body = body;
-        platform::target_hooks hooks;
-        hooks.on_finished = [done](const platform::target_answer& answer)
+        services::target_hooks hooks;
+        hooks.on_finished = [done](const services::target_answer& answer)
         {
             done(answer.body);
         };
@@ -390,7 +390,7 @@
     std::mt19937 random_;
     boost::asio::io_context context_{1};
     boost::asio::steady_timer online_timer_;
-    platform::target_service target_;
+    services::target_service target_;
     std::unique_ptr<transport::client_connection> client_;
     transport::message_stream_ptr status_;
     common::time_point end_{};
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -9,7 +9,7 @@
 #include "common/logging.hpp"
 #include "common/metrics.hpp"
 #include "http/http_server.hpp"
-#include "platform/http_target.hpp"
+#include "services/http_target.hpp"
 #include "transport/peer_options.hpp"
 #include "transport/server.hpp"
 
@@ -40,10 +40,10 @@
 
 constexpr std::size_t max_admin_connections = 64;
 
-platform::http_target_settings
+services::http_target_settings
 make_target_settings(const config::agent_settings& from)
 {
-    platform::http_target_settings to;
+    services::http_target_settings to;
     to.address = from.target_address;
     to.max_idle_connections = from.slots;
     return to;
@@ -110,7 +110,7 @@
       admin("admin", settings.ring_capacity),
       signals(main_context, SIGTERM, SIGINT),
       runner(peer, target,
-             platform::make_http_target(target.context(),
+             services::make_http_target(target.context(),
                                         make_target_settings(settings.agent)),
              max_waiting_bytes),
       work(peer.context(), settings, metrics, runner),
--- a/src/agent/target_runner.cpp
+++ b/src/agent/target_runner.cpp
@@ -42,12 +42,12 @@
 
     // ---- target thread ----
 
-    void call(const platform::target_service& service,
-              platform::target_request request)
+    void call(const services::target_service& service,
+              services::target_request request)
     {
         if (cancelled_)
             return;
-        platform::target_hooks hooks;
+        services::target_hooks hooks;
         const auto self = shared_from_this();
         hooks.on_sent = [self]
         {
@@ -57,7 +57,7 @@
         {
             self->put_event(data);
         };
-        hooks.on_finished = [self](platform::target_answer answer)
+        hooks.on_finished = [self](services::target_answer answer)
         {
             self->put([&](auto& it) { it.answer = std::move(answer); });
         };
@@ -75,7 +75,7 @@
         bool sent = false;
         std::vector<target_event> events;
         std::size_t bytes = 0;
-        std::optional<platform::target_answer> answer;
+        std::optional<services::target_answer> answer;
         std::optional<std::error_code> failure;
     };
 
@@ -150,7 +150,7 @@
     bool ended_ = false;
 
     // Target thread.
-    platform::target_cancel cancel_;
+    services::target_cancel cancel_;
     bool cancelled_ = false;
 
     // Both threads.
@@ -163,7 +163,7 @@
 
 target_runner::target_runner(common::duty_thread& peer,
                              common::duty_thread& target,
-                             platform::target_service service,
+                             services::target_service service,
                              std::size_t max_waiting_bytes)
     : peer_(peer), target_(target), service_(std::move(service)),
       max_waiting_bytes_(max_waiting_bytes)
@@ -171,7 +171,7 @@
 }
 
 std::shared_ptr<target_run>
-target_runner::start(platform::target_request request, bool extract_text,
+target_runner::start(services::target_request request, bool extract_text,
                      target_run_hooks hooks)
 {
     const auto run = std::make_shared<run_impl>(
--- a/src/agent/target_runner.hpp
+++ b/src/agent/target_runner.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERTRACK_AGENT_TARGET_RUNNER_HPP
 #define TANAGERTRACK_AGENT_TARGET_RUNNER_HPP
 
-#include "platform/target_service.hpp"
+#include "services/target_service.hpp"
 
 #include <functional>
 #include <memory>
@@ -32,9 +32,9 @@
 {
     std::function<void()> on_sent;
     std::function<void(const target_event&)> on_event;
-    std::function<void(platform::target_answer)> on_finished;
+    std::function<void(services::target_answer)> on_finished;
 
-    /// Codes as of `platform::target_hooks`; `overloaded` when the events
+    /// Codes as of `services::target_hooks`; `overloaded` when the events
     /// that wait for the peer thread are over their limit.
     std::function<void(std::error_code)> on_failed;
 };
@@ -57,19 +57,19 @@
     /// `service` is used on the target thread. `max_waiting_bytes` limits the
     /// events of one call that wait for the peer thread.
     target_runner(common::duty_thread& peer, common::duty_thread& target,
-                  platform::target_service service,
+                  services::target_service service,
                   std::size_t max_waiting_bytes);
 
     /// Starts a call; `extract_text` fills `target_event::text`. Null, and
     /// nothing was started, when the target thread's ring is full.
-    std::shared_ptr<target_run> start(platform::target_request request,
+    std::shared_ptr<target_run> start(services::target_request request,
                                       bool extract_text,
                                       target_run_hooks hooks);
 
 private:
     common::duty_thread& peer_;
     common::duty_thread& target_;
-    const platform::target_service service_;
+    const services::target_service service_;
     const std::size_t max_waiting_bytes_;
 };
 
--- a/src/agent/work_session.cpp
+++ b/src/agent/work_session.cpp
@@ -123,7 +123,7 @@
     {
         on([&](auto& it) { it.on_event(event); });
     };
-    hooks.on_finished = [on](const platform::target_answer& answer)
+    hooks.on_finished = [on](const services::target_answer& answer)
     {
         on([&](auto& it) { it.on_finished(answer); });
     };
@@ -135,9 +135,9 @@
     return run_ != nullptr;
 }
 
-platform::target_request work_session::make_call(common::time_point now)
+services::target_request work_session::make_call(common::time_point now)
 {
-    platform::target_request call;
+    services::target_request call;
     call.method = request_.method();
     call.path = request_.path();
     call.content_type = request_.content_type();
@@ -225,7 +225,7 @@
     last_event_ = now;
 }
 
-void work_session::on_finished(const platform::target_answer& answer)
+void work_session::on_finished(const services::target_answer& answer)
 {
     const auto status = answer.http_status;
     const bool batch = kind() == work_class::batch;
@@ -242,7 +242,7 @@
         finish(answer);
 }
 
-void work_session::finish(const platform::target_answer& answer)
+void work_session::finish(const services::target_answer& answer)
 {
     proto::WorkEvent event;
     auto& finished = *event.mutable_finished();
@@ -297,7 +297,7 @@
     fail(code, {}, false);
 }
 
-void work_session::fail(result_code code, const platform::target_answer& answer,
+void work_session::fail(result_code code, const services::target_answer& answer,
                         bool permanent)
 {
     owner_.metrics().of(kind()).failed.add();
--- a/src/agent/work_session.hpp
+++ b/src/agent/work_session.hpp
@@ -87,14 +87,14 @@
     void stop(common::result_code code);
 
 private:
-    platform::target_request make_call(common::time_point now);
+    services::target_request make_call(common::time_point now);
     void on_sent();
     void on_event(const target_event& event);
-    void on_finished(const platform::target_answer& answer);
+    void on_finished(const services::target_answer& answer);
     void on_failed(std::error_code ec);
     void take_times(common::time_point now);
-    void finish(const platform::target_answer& answer);
-    void fail(common::result_code code, const platform::target_answer& answer,
+    void finish(const services::target_answer& answer);
+    void fail(common::result_code code, const services::target_answer& answer,
               bool permanent);
     void end(proto::WorkEvent event);
     common::time_point now() const;
--- a/src/common/logging.cpp
+++ b/src/common/logging.cpp
@@ -1,12 +1,15 @@
 #include "common/logging.hpp"
 
 #include "common/clock.hpp"
+#include "common/log_writer.hpp"
 
-#include <glog/logging.h>
-
+#include <array>
+#include <cstdio>
 #include <map>
 #include <mutex>
 
+#include <unistd.h>
+
 namespace tanagertrack::common
 {
 
@@ -20,22 +23,34 @@
     std::uint64_t suppressed = 0;
 };
 
-std::mutex rates_mutex;
+/// The log of the process.
+struct process_log
+{
+    std::mutex mutex;
+    log_settings settings;
+    log_writer writer{STDOUT_FILENO, log_settings().max_buffer_bytes};
+    std::map<std::string, event_rate, std::less<>> rates;
+
+    /// Bytes collected since the last flush.
+    std::size_t collected = 0;
+};
 
-std::map<std::string, event_rate, std::less<>>& rates()
+process_log& instance()
 {
-    static std::map<std::string, event_rate, std::less<>> instance;
-    return instance;
+    static process_log log;
+    return log;
 }
 
+/// Bytes that are collected before they are written.
+constexpr std::size_t flush_bytes = 4096;
+
 /// Whether the line may be written; `suppressed` gets the number of lines of
 /// the event that were left out before it.
-bool admit(std::string_view event, std::uint64_t& suppressed)
+bool admit(process_log& log, std::string_view event, std::uint64_t& suppressed)
 {
-    const std::lock_guard lock(rates_mutex);
-    auto it = rates().find(event);
-    if (it == rates().end())
-        it = rates().emplace(std::string(event), event_rate{}).first;
+    auto it = log.rates.find(event);
+    if (it == log.rates.end())
+        it = log.rates.emplace(std::string(event), event_rate{}).first;
 
     auto& rate = it->second;
     const auto now = clock::now();
@@ -44,7 +59,7 @@
         rate.second_start = now;
         rate.lines = 0;
     }
-    if (rate.lines >= max_lines_a_second)
+    if (rate.lines >= log.settings.max_lines_a_second)
     {
         ++rate.suppressed;
         return false;
@@ -74,10 +89,26 @@
     line += '"';
 }
 
-std::string format(std::string_view event, log_fields fields,
-                   std::uint64_t suppressed)
+/// Seconds of the Unix clock with milliseconds.
+std::string time_text()
+{
+    constexpr std::uint64_t ms_per_s = 1000;
+    const auto now = unix_time_ms();
+    std::array<char, 32> buf;
+    const int n =
+        std::snprintf(buf.data(), buf.size(), "%llu.%03llu",
+                      static_cast<unsigned long long>(now / ms_per_s),
+                      static_cast<unsigned long long>(now % ms_per_s));
+    return {buf.data(), static_cast<std::size_t>(n)};
+}
+
+std::string format(std::string_view level, std::string_view event,
+                   log_fields fields, std::uint64_t suppressed)
 {
-    std::string line = "event=";
+    std::string line = "ts=" + time_text();
+    line += " level=";
+    line += level;
+    line += " event=";
     line += event;
     for (const auto& field : fields)
     {
@@ -91,14 +122,20 @@
     return line;
 }
 
-void write(google::LogSeverity severity, std::string_view event,
-           log_fields fields)
+void write(std::string_view level, std::string_view event, log_fields fields)
 {
+    auto& log = instance();
+    const std::lock_guard lock(log.mutex);
     std::uint64_t suppressed = 0;
-    if (!admit(event, suppressed))
+    if (!admit(log, event, suppressed))
+        return;
+    const auto line = format(level, event, fields, suppressed);
+    log.writer.add(line);
+    log.collected += line.size();
+    if (log.collected < flush_bytes)
         return;
-    google::LogMessage("tanagertrack", 0, severity).stream()
-        << format(event, fields, suppressed);
+    log.writer.flush();
+    log.collected = 0;
 }
 
 } // namespace
@@ -143,26 +180,42 @@
 {
 }
 
-void init_logging(const char* program)
+void init_logging(const log_settings& settings)
 {
-    // Hosts have no disk: log lines go to standard error only.
-    FLAGS_logtostderr = true;
-    google::InitGoogleLogging(program);
+    auto& log = instance();
+    const std::lock_guard lock(log.mutex);
+    log.settings = settings;
+    log.writer = log_writer(STDOUT_FILENO, settings.max_buffer_bytes);
 }
 
 void log_info(std::string_view event, log_fields fields)
 {
-    write(google::GLOG_INFO, event, fields);
+    write("info", event, fields);
 }
 
 void log_warning(std::string_view event, log_fields fields)
 {
-    write(google::GLOG_WARNING, event, fields);
+    write("warning", event, fields);
 }
 
 void log_error(std::string_view event, log_fields fields)
 {
-    write(google::GLOG_ERROR, event, fields);
+    write("error", event, fields);
+}
+
+void flush_log()
+{
+    auto& log = instance();
+    const std::lock_guard lock(log.mutex);
+    log.writer.flush();
+    log.collected = 0;
+}
+
+std::uint64_t dropped_log_lines()
+{
+    auto& log = instance();
+    const std::lock_guard lock(log.mutex);
+    return log.writer.dropped();
 }
 
 } // namespace tanagertrack::common
--- a/src/common/logging.hpp
+++ b/src/common/logging.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERTRACK_COMMON_LOGGING_HPP
 #define TANAGERTRACK_COMMON_LOGGING_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -27,13 +28,25 @@
 
 using log_fields = std::initializer_list<log_field>;
 
-/// Prepares glog to write to standard error. Call once, first thing in main.
-void init_logging(const char* program);
+/// Bounds of the log.
+struct log_settings
+{
+    /// Lines of one event and level that are written in a second; further
+    /// ones are counted, and the next line has `suppressed=N`.
+    unsigned max_lines_a_second = 500;
+
+    /// Bytes that wait for a slow reader; lines beyond are dropped and
+    /// counted.
+    std::size_t max_buffer_bytes = 256UL * 1024;
+};
 
-/// Writes one line `event=NAME key=value ...`. Any thread. Values with spaces
-/// are quoted. The same event is written at most `max_lines_a_second` times a
-/// second for each level; the next line then has `suppressed=N`. Prompts,
-/// answers and keys never go into a log line.
+/// Sets the bounds. Call before other threads log.
+void init_logging(const log_settings& settings = {});
+
+/// Writes one line `ts=UNIX_SECONDS level=info event=NAME key=value ...` to
+/// standard output, without ever waiting for its reader. Any thread. Values
+/// with spaces are quoted. Prompts, answers and keys never go into a line.
+/// Lines are collected: `flush_log` writes them.
 void log_info(std::string_view event, log_fields fields = {});
 
 /// As `log_info`, at level warning.
@@ -42,8 +55,12 @@
 /// As `log_info`, at level error.
 void log_error(std::string_view event, log_fields fields = {});
 
-/// Lines a second of one event and level above which lines are suppressed.
-constexpr unsigned max_lines_a_second = 20;
+/// Writes collected lines as far as the reader takes them at once. Called
+/// periodically, and by itself when many lines are collected.
+void flush_log();
+
+/// Lines that were dropped because the reader was slow.
+std::uint64_t dropped_log_lines();
 
 } // namespace tanagertrack::common
 
--- a/src/common/result_code.hpp
+++ b/src/common/result_code.hpp
@@ -72,6 +72,13 @@
         "the process has no fleet configuration yet")                          \
     ROW(stale_claim, 1306, 503, not_run,                                       \
         "the work carries a replaced claim on its partition")                  \
+    ROW(log_moved, 1307, 503, not_run,                                         \
+        "the log does not end at the expected offset")                         \
+    ROW(producer_fenced, 1308, 503, not_run,                                   \
+        "a later writer has taken over the producer's name")                   \
+    ROW(producer_sequence, 1309, 503, not_run,                                 \
+        "the append does not follow the producer's last one")                  \
+    ROW(log_full, 1310, 503, not_run, "the log has no room left")              \
     ROW(no_target, 1401, 503, not_run,                                         \
         "no live target serves the model or service")                          \
     ROW(target_refused, 1402, 503, not_run, "the target refused the work")     \
--- a/src/config/setting_table.cpp
+++ b/src/config/setting_table.cpp
@@ -96,6 +96,29 @@
              }});
 }
 
+void setting_table::add_texts(std::string key,
+                              std::map<std::string, std::string>& value,
+                              std::size_t max_bytes, std::string help)
+{
+    const auto type =
+        "mapping of names to texts of at most " + std::to_string(max_bytes) +
+        " bytes";
+    add_row({std::move(key), type, "", std::move(help),
+             [&value, type, max_bytes](const YAML::Node& node) -> std::string
+             {
+                 if (!node.IsMap())
+                     return expected(type, node);
+                 for (const auto& it : node)
+                 {
+                     std::string text;
+                     if (!decode(it.second, text) || text.size() > max_bytes)
+                         return expected(type, it.second);
+                     value[it.first.as<std::string>()] = text;
+                 }
+                 return {};
+             }});
+}
+
 void setting_table::add_ip(std::string key, std::string& value,
                            std::string help)
 {
--- a/src/config/setting_table.hpp
+++ b/src/config/setting_table.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +51,10 @@
     void add_choice(std::string key, std::string& value,
                     std::vector<std::string> choices, std::string help);
 
+    /// Adds a mapping of names to texts, each of at most `max_bytes`.
+    void add_texts(std::string key, std::map<std::string, std::string>& value,
+                   std::size_t max_bytes, std::string help);
+
     /// Adds an IP number.
     void add_ip(std::string key, std::string& value, std::string help);
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -18,6 +18,8 @@
     table.add_choice("role", it.role, {"entry", "agent"},
                      "role of the process");
     table.require();
+    table.add_choice("callers", it.callers, {"own", "platform"},
+                     "protocol of the callers and operators");
     table.add("name", it.name, "name of the process, unique in the fleet", 64);
     table.require();
     table.add_ip("address", it.address, "IP number of the listeners");
@@ -26,9 +28,10 @@
     table.require();
     table.add("region", it.region, "region of the host", 64);
     table.require();
+    table.add_texts("regions", it.regions, 64,
+                    "region of each data centre that is in another one");
     table.add("cluster_key", it.cluster_key,
               "secret shared by all processes of the fleet");
-    table.require();
     table.add_integer("ring_capacity", it.ring_capacity, 16, 65000,
                       "tasks in the ring of each thread; when full, new work "
                       "is refused with ring_full");
@@ -38,6 +41,15 @@
 
 void add_platform(setting_table& table, platform_settings& it)
 {
+    table.add_endpoint("platform.store", it.store, "the metadata store");
+    table.add_endpoint("platform.front", it.front,
+                       "listener for callers of the platform");
+    table.add_endpoint("platform.ready", it.ready,
+                       "listener for the platform's readiness check");
+    table.add_endpoint("platform.control", it.control,
+                       "listener for other processes that start");
+    table.add_endpoints("platform.seeds", it.seeds, 16,
+                        "control listeners of other processes");
     table.add_endpoint("platform.log", it.log, "the log service (entry)");
     table.add_endpoint("platform.hosts", it.hosts, "the host list");
     table.add_endpoint("platform.weights", it.weights, "the weight store");
@@ -51,6 +63,26 @@
                  "time between reads of the host list");
 }
 
+void add_store(setting_table& table, store_settings& it)
+{
+    table.add_integer("store.partitions", it.partitions, 1, 4096,
+                      "partitions of each topic");
+    table.add_integer("store.max_record_bytes", it.max_record_bytes, 1024,
+                      16777216, "largest record");
+    table.add_integer("store.max_append_bytes", it.max_append_bytes, 1024,
+                      67108864, "records of one append");
+    table.add_ms("store.retention_ms", it.retention, 1000, 8760 * hour_ms,
+                 "time for which records are kept");
+    table.add_ms("store.min_session_ms", it.min_session, 10, 60000,
+                 "shortest session time-out of a group's member");
+    table.add_ms("store.call_timeout_ms", it.call_timeout, 10, 60000,
+                 "time in which a call has to be answered");
+    table.add_ms("store.targets_interval_ms", it.targets_interval, 0, 60000,
+                 "shortest time between reads of the targets");
+    table.add_ms("store.jobs_interval_ms", it.jobs_interval, 0, 60000,
+                 "shortest time between reads of the jobs");
+}
+
 void add_front(setting_table& table, front_settings& it)
 {
     table.add_integer("front.port", it.port, 1, max_port,
@@ -86,7 +118,6 @@
 {
     table.add_integer("peer.port", it.port, 1, max_port,
                       "port for other processes of the fleet");
-    table.require();
     table.add_integer("peer.send_buffer_bytes", it.send_buffer_bytes, 4096,
                       67108864, "bytes queued on a stream before it pauses");
     table.add_ms("peer.ping_interval_ms", it.ping_interval, 100, 60000,
@@ -199,7 +230,15 @@
         check(errors, file, given, key,
               "missing; role " + it.role + " needs it");
     };
-    if (it.role == "entry")
+    if (it.role == "entry" && it.callers == "platform")
+    {
+        need(it.platform.store.port != 0, "platform.store");
+        need(it.platform.front.port != 0, "platform.front");
+        need(it.platform.ready.port != 0, "platform.ready");
+    }
+    else
+        need(!it.cluster_key.empty(), "cluster_key");
+    if (it.role == "entry" && it.callers == "own")
     {
         need(it.front.port != 0, "front.port");
         need(it.operators.port != 0, "operator.port");
@@ -227,6 +266,7 @@
     setting_table table;
     add_process(table, target);
     add_platform(table, target.platform);
+    add_store(table, target.store);
     add_front(table, target.front);
     add_operators(table, target.operators);
     add_peer(table, target.peer);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,18 @@
 /// The platform's services.
 struct platform_settings
 {
+    /// The metadata store.
+    common::endpoint store;
+
+    /// Listeners for callers and for the platform's readiness check, where the
+    /// callers speak the platform's protocol.
+    common::endpoint front;
+    common::endpoint ready;
+    common::endpoint control;
+
+    /// Control listeners of other processes; some may be down.
+    std::vector<common::endpoint> seeds;
+
     common::endpoint log;
     common::endpoint hosts;
     common::endpoint weights;
@@ -26,6 +39,21 @@
     std::chrono::milliseconds hosts_interval{2000};
 };
 
+/// Limits that the store states, and the rates at which it is used.
+struct store_settings
+{
+    std::uint32_t partitions = 8;
+    std::size_t max_record_bytes = 256UL * 1024;
+    std::size_t max_append_bytes = 2UL * 1024 * 1024;
+    std::chrono::milliseconds retention{300000};
+    std::chrono::milliseconds min_session{1000};
+    std::chrono::milliseconds call_timeout{1500};
+
+    /// Time between two reads of the list of targets, and of the jobs.
+    std::chrono::milliseconds targets_interval{500};
+    std::chrono::milliseconds jobs_interval{300};
+};
+
 /// Listener for callers, on an entry.
 struct front_settings
 {
@@ -115,14 +143,21 @@
 struct settings
 {
     std::string role;
+
+    /// Protocol of the callers: "own" or "platform".
+    std::string callers = "own";
     std::string name;
     std::string address;
     std::string data_centre;
     std::string region;
+
+    /// Region of each data centre; others are in `region`.
+    std::map<std::string, std::string> regions;
     std::string cluster_key;
     std::size_t ring_capacity = 8192;
     std::size_t max_metric_series = 1000;
     platform_settings platform;
+    store_settings store;
     front_settings front;
     operator_settings operators;
     peer_settings peer;
--- a/src/entry/batch_core.hpp
+++ b/src/entry/batch_core.hpp
@@ -40,7 +40,7 @@
         const config::settings& settings;
         config_view& config;
         boost::asio::io_context& context;
-        platform::log_service log;
+        services::log_service log;
         work_gate gate;
 
         /// Given the claims held whenever they change.
--- a/src/entry/batch_service.cpp
+++ b/src/entry/batch_service.cpp
@@ -16,7 +16,7 @@
 #include "entry/retention_keeper.hpp"
 #include "entry/service_rules.hpp"
 #include "http/error_answer.hpp"
-#include "platform/http_log.hpp"
+#include "services/http_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -61,7 +61,7 @@
 {
     http::rejection why(code);
     why.ran = common::execution::not_run;
-    why.retry_after_s = 1;
+    why.retry_after = std::chrono::seconds(1);
     return why;
 }
 
@@ -130,12 +130,12 @@
 batch_service::impl::impl(batch_environment its) : environment(its)
 {
     const auto& settings = its.settings;
-    platform::http_log_settings log_settings;
+    services::http_log_settings log_settings;
     log_settings.address = settings.platform.log;
     log_settings.timeout = settings.platform.log_timeout;
     log_settings.max_connections =
         settings.batch.partitions + spare_log_connections;
-    auto log = platform::make_http_log(its.log_thread.context(), log_settings);
+    auto log = services::make_http_log(its.log_thread.context(), log_settings);
     auto set_fences = [&pool = its.pool, &peer = its.peer_thread](
                           std::vector<proto::Fence> fences)
     {
--- a/src/entry/caller_exchange.cpp
+++ b/src/entry/caller_exchange.cpp
@@ -13,8 +13,8 @@
     head_.method = from.method;
     head_.target = from.target;
     head_.team = std::move(team);
-    head_.idempotency_key = from.idempotency_key;
-    head_.content_type = from.content_type;
+    head_.idempotency_key = from.idempotency_key();
+    head_.content_type = from.content_type();
     head_.request_id = from.request_id;
     head_.content_length = from.content_length;
 }
@@ -35,7 +35,7 @@
     http::answer_head head;
     head.status = answer.status;
     head.content_type = std::move(answer.content_type);
-    head.retry_after_s = answer.retry_after_s;
+    head.retry_after = std::chrono::seconds(answer.retry_after_s);
     return head;
 }
 
@@ -74,7 +74,8 @@
     auto answer = http::error_answer(why, request.head().request_id);
     exchange_answer head;
     head.status = answer.head.status;
-    head.retry_after_s = answer.head.retry_after_s;
+    head.retry_after_s =
+        static_cast<unsigned>((answer.head.retry_after.count() + 999) / 1000);
     request.respond(std::move(head), std::move(answer.body));
 }
 
--- a/src/entry/config_follower.cpp
+++ b/src/entry/config_follower.cpp
@@ -57,7 +57,7 @@
     {
         follower_hooks hooks;
         hooks.on_records =
-            [this](std::vector<platform::log_record> records, std::uint64_t)
+            [this](std::vector<services::log_record> records, std::uint64_t)
         {
             std::vector<state::ticket_verdict> verdicts;
             for (const auto& it : records)
@@ -91,7 +91,7 @@
     }
 
     /// Applies a record and adds the verdicts that follow from it.
-    void apply(const platform::log_record& it,
+    void apply(const services::log_record& it,
                std::vector<state::ticket_verdict>& verdicts)
     {
         proto::ConfigRecord record;
--- a/src/entry/config_follower.hpp
+++ b/src/entry/config_follower.hpp
@@ -4,7 +4,7 @@
 #include "config/settings.hpp"
 #include "entry/config_view.hpp"
 #include "entry/ticket_submitter.hpp"
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 #include "proto/peer.pb.h"
 
 #include <cstdint>
@@ -29,7 +29,7 @@
     common::metrics_registry& metrics;
     config_view& config;
     common::duty_thread& log_thread;
-    platform::log_service& log;
+    services::log_service& log;
 
     /// Called on the `log` thread while the log can't be read and there is no
     /// complete configuration: asks another entry for it.
--- a/src/entry/control_follower.cpp
+++ b/src/entry/control_follower.cpp
@@ -41,7 +41,7 @@
 } // namespace
 
 control_follower::control_follower(boost::asio::io_context& context,
-                                   platform::log_service& log,
+                                   services::log_service& log,
                                    control_settings settings,
                                    owner_list& owners,
                                    std::function<void(std::uint32_t)> release)
@@ -64,12 +64,12 @@
 
 void control_follower::find_start()
 {
-    platform::log_read_request request;
+    services::log_read_request request;
     request.stream = control_stream;
     request.max_bytes = 1;
     log_.read(request,
               [this, alive = std::weak_ptr(alive_)](
-                  std::error_code ec, platform::log_read_result result)
+                  std::error_code ec, services::log_read_result result)
               {
                   if (alive.expired())
                       return;
@@ -102,7 +102,7 @@
     settings.retry = settings_.retry;
     settings.seed = settings_.seed;
     follower_hooks hooks;
-    hooks.on_records = [this](std::vector<platform::log_record> records, auto)
+    hooks.on_records = [this](std::vector<services::log_record> records, auto)
     {
         take_records(records);
     };
@@ -116,7 +116,7 @@
 }
 
 void control_follower::take_records(
-    const std::vector<platform::log_record>& records)
+    const std::vector<services::log_record>& records)
 {
     const auto now = common::clock::now();
     if (!is_fresh(now))
--- a/src/entry/control_follower.hpp
+++ b/src/entry/control_follower.hpp
@@ -40,7 +40,7 @@
     /// `owners` has one element for each partition, in order, and outlives
     /// this object. `release` starts to give a held partition back.
     control_follower(boost::asio::io_context& context,
-                     platform::log_service& log, control_settings settings,
+                     services::log_service& log, control_settings settings,
                      owner_list& owners,
                      std::function<void(std::uint32_t)> release);
     ~control_follower();
@@ -95,7 +95,7 @@
 
     void find_start();
     void start_follower(std::uint64_t from);
-    void take_records(const std::vector<platform::log_record>& records);
+    void take_records(const std::vector<services::log_record>& records);
     void note_own_beat(const proto::Heartbeat& beat);
     void tick();
     void schedule_tick();
@@ -112,7 +112,7 @@
     void finish_beat(std::error_code ec);
 
     boost::asio::io_context& context_;
-    platform::log_service& log_;
+    services::log_service& log_;
     control_settings settings_;
     owner_list& owners_;
     std::function<void(std::uint32_t)> release_;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -13,7 +13,7 @@
 #include "entry/operator_service.hpp"
 #include "entry/target_pool.hpp"
 #include "http/http_server.hpp"
-#include "platform/http_log.hpp"
+#include "services/http_log.hpp"
 #include "transport/peer_options.hpp"
 #include "transport/server.hpp"
 
@@ -61,9 +61,9 @@
     return settings;
 }
 
-platform::http_log_settings log_settings(const config::settings& it)
+services::http_log_settings log_settings(const config::settings& it)
 {
-    platform::http_log_settings settings;
+    services::http_log_settings settings;
     settings.address = it.platform.log;
     settings.timeout = it.platform.log_timeout;
     return settings;
@@ -79,7 +79,7 @@
           peer_thread("peer", values.ring_capacity),
           log_thread("log", values.ring_capacity),
           batch_thread("batch", values.ring_capacity),
-          log(platform::make_http_log(log_thread.context(),
+          log(services::make_http_log(log_thread.context(),
                                       log_settings(values))),
           pool(peer_thread.context(), values, metrics),
           router(values, metrics, pool, peer_thread),
@@ -88,7 +88,7 @@
                  [this](proto::ConfigPush push)
                  { follower.load(std::move(push)); }),
           hosts(peer_thread.context(),
-                platform::make_http_host_list(peer_thread.context(),
+                services::make_http_host_list(peer_thread.context(),
                                               values.platform.hosts),
                 values.platform.hosts_interval, pool),
           follower({values, metrics, config, log_thread, log,
@@ -168,7 +168,7 @@
     common::duty_thread peer_thread;
     common::duty_thread log_thread;
     common::duty_thread batch_thread;
-    platform::log_service log;
+    services::log_service log;
 
     // On the `peer` thread.
     target_pool pool;
--- a/src/entry/forward_client.cpp
+++ b/src/entry/forward_client.cpp
@@ -75,7 +75,7 @@
     void refuse_unsent()
     {
         http::rejection why(result_code::no_partition_holder);
-        why.retry_after_s = 1;
+        why.retry_after = std::chrono::seconds(1);
         refuse(*request_, why);
         end();
     }
@@ -231,7 +231,7 @@
             return end();
         }
         http::rejection why(result_code::connection_lost);
-        why.retry_after_s = 1;
+        why.retry_after = std::chrono::seconds(1);
         if (request_->head().method == "GET")
             why.ran = execution::not_run;
         else
--- a/src/entry/front_service.cpp
+++ b/src/entry/front_service.cpp
@@ -121,8 +121,11 @@
                http::rejection(stopping_ ? result_code::shutting_down
                                          : result_code::no_configuration));
     else if (path == "/metrics")
-        http->respond({200, "text/plain; version=0.0.4", 0, false},
-                      env_.metrics.render());
+    {
+        http::answer_head head;
+        head.content_type = "text/plain; version=0.0.4";
+        http->respond(std::move(head), env_.metrics.render());
+    }
     else
         http->respond({}, R"({"status":"ok"})");
     return true;
@@ -140,7 +143,7 @@
 
 const proto::TeamSpec* front_service::admit(const http::http_exchange_ptr& http)
 {
-    const auto* team = index_->find_team(http->head().authorization);
+    const auto* team = index_->find_team(http->head().authorization());
     if (team == nullptr)
     {
         refuse(http, http::rejection(result_code::invalid_team_key));
@@ -156,7 +159,7 @@
     if (wait <= common::duration())
         return team;
     http::rejection why(result_code::rate_limited);
-    why.retry_after_s = to_whole_seconds(wait);
+    why.retry_after = std::chrono::seconds(to_whole_seconds(wait));
     refuse(http, why);
     return nullptr;
 }
@@ -261,7 +264,7 @@
     if (!repeatable)
         return refuse_input(http, result_code::invalid_request,
                             "the path has more than one reading");
-    if (!*repeatable && head.idempotency_key.empty())
+    if (!*repeatable && head.idempotency_key().empty())
         return refuse(http,
                       http::rejection(result_code::idempotency_key_required));
     if (!*repeatable)
@@ -290,7 +293,7 @@
     call.model = std::move(target.name);
     call.work.set_method(head.method);
     call.work.set_path(std::move(target.path));
-    call.work.set_content_type(head.content_type);
+    call.work.set_content_type(std::string(head.content_type()));
     call.work.set_body(std::move(body));
     route(request, std::move(call));
 }
--- a/src/entry/host_follower.cpp
+++ b/src/entry/host_follower.cpp
@@ -10,7 +10,7 @@
 {
 
 host_follower::host_follower(boost::asio::io_context& context,
-                             platform::host_list list,
+                             services::host_list list,
                              std::chrono::milliseconds interval,
                              target_pool& pool)
     : list_(std::move(list)), interval_(interval), pool_(pool), timer_(context)
@@ -20,19 +20,19 @@
 void host_follower::start()
 {
     list_.fetch([this](std::error_code ec,
-                       const std::vector<platform::listed_host>& hosts)
+                       const std::vector<services::listed_host>& hosts)
                 { take(ec, hosts); });
 }
 
 void host_follower::take(std::error_code ec,
-                         const std::vector<platform::listed_host>& hosts)
+                         const std::vector<services::listed_host>& hosts)
 {
     if (ec)
         common::log_warning("host_list_read_failed", {{"what", ec.message()}});
     std::vector<std::string> leaving;
     for (const auto& it : hosts)
     {
-        if (it.state == platform::host_state::leaving)
+        if (it.state == services::host_state::leaving)
             leaving.push_back(it.address);
     }
     if (!ec)
--- a/src/entry/host_follower.hpp
+++ b/src/entry/host_follower.hpp
@@ -2,7 +2,7 @@
 #define TANAGERTRACK_ENTRY_HOST_FOLLOWER_HPP
 
 #include "entry/target_pool.hpp"
-#include "platform/host_list.hpp"
+#include "services/host_list.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -17,7 +17,7 @@
 class host_follower
 {
 public:
-    host_follower(boost::asio::io_context& context, platform::host_list list,
+    host_follower(boost::asio::io_context& context, services::host_list list,
                   std::chrono::milliseconds interval, target_pool& pool);
 
     host_follower(const host_follower&) = delete;
@@ -28,9 +28,9 @@
 
 private:
     void take(std::error_code ec,
-              const std::vector<platform::listed_host>& hosts);
+              const std::vector<services::listed_host>& hosts);
 
-    platform::host_list list_;
+    services::host_list list_;
     std::chrono::milliseconds interval_;
     target_pool& pool_;
     boost::asio::steady_timer timer_;
--- a/src/entry/job_answers.cpp
+++ b/src/entry/job_answers.cpp
@@ -277,7 +277,7 @@
         if (done.ec)
         {
             http::rejection why(common::to_result_code(done.ec));
-            why.retry_after_s = 1;
+            why.retry_after = std::chrono::seconds(1);
             refuse(*request, why);
             co_return;
         }
--- a/src/entry/job_intake.cpp
+++ b/src/entry/job_intake.cpp
@@ -39,7 +39,7 @@
     why.ran = execution::may_have_run;
     why.message = "the job may have been accepted; sending it again with the "
                   "same Idempotency-Key is safe";
-    why.retry_after_s = 1;
+    why.retry_after = std::chrono::seconds(1);
     return why;
 }
 
--- a/src/entry/log_proxy.cpp
+++ b/src/entry/log_proxy.cpp
@@ -11,15 +11,15 @@
 
 using common::result_code;
 
-platform::log_service make_log_proxy(platform::log_service log,
+services::log_service make_log_proxy(services::log_service log,
                                      common::duty_thread& log_thread,
                                      common::duty_thread& caller_thread)
 {
-    const auto target = std::make_shared<platform::log_service>(std::move(log));
-    platform::log_service proxy;
+    const auto target = std::make_shared<services::log_service>(std::move(log));
+    services::log_service proxy;
     proxy.append = [target, &log_thread,
                     &caller_thread](std::string stream, std::string data,
-                                    platform::log_append_handler handler)
+                                    services::log_append_handler handler)
     {
         auto answer =
             [&caller_thread, handler](std::error_code ec, std::uint64_t offset)
@@ -35,11 +35,11 @@
             answer(result_code::log_unavailable, 0);
     };
     proxy.read = [target, &log_thread,
-                  &caller_thread](platform::log_read_request request,
-                                  platform::log_read_handler handler)
+                  &caller_thread](services::log_read_request request,
+                                  services::log_read_handler handler)
     {
         auto answer = [&caller_thread, handler](
-                          std::error_code ec, platform::log_read_result result)
+                          std::error_code ec, services::log_read_result result)
         {
             caller_thread.post_completion(
                 [handler, ec, result = std::move(result)]() mutable
--- a/src/entry/log_proxy.hpp
+++ b/src/entry/log_proxy.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERTRACK_ENTRY_LOG_PROXY_HPP
 #define TANAGERTRACK_ENTRY_LOG_PROXY_HPP
 
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 
 namespace tanagertrack::common
 {
@@ -15,7 +15,7 @@
 /// answers there, while the calls of `log` run on `log_thread`. A call that
 /// finds the ring of the log thread full fails as `log_unavailable`. The
 /// threads outlive the returned object and the calls in progress.
-platform::log_service make_log_proxy(platform::log_service log,
+services::log_service make_log_proxy(services::log_service log,
                                      common::duty_thread& log_thread,
                                      common::duty_thread& caller_thread);
 
--- a/src/entry/once_calls.cpp
+++ b/src/entry/once_calls.cpp
@@ -55,7 +55,8 @@
     Answer it;
     it.head.status = whole.head.status;
     it.head.content_type = whole.head.content_type;
-    it.head.retry_after_s = whole.head.retry_after_s;
+    it.head.retry_after_s = static_cast<unsigned>(
+        (whole.head.retry_after.count() + 999) / 1000);
     it.body = std::move(whole.body);
     return it;
 }
--- a/src/entry/online_request.cpp
+++ b/src/entry/online_request.cpp
@@ -127,7 +127,7 @@
 {
     attempt_ = 0;
     http::rejection why(to_code(refused.code()));
-    why.retry_after_s = (refused.retry_after_ms() + 999) / 1000;
+    why.retry_after = std::chrono::milliseconds(refused.retry_after_ms());
     why.ran = execution::not_run;
     try_again(std::move(why));
 }
--- a/src/entry/operator_service.cpp
+++ b/src/entry/operator_service.cpp
@@ -90,7 +90,7 @@
 bool operator_service::is_permitted(const http::http_exchange_ptr& http) const
 {
     // Hashes are compared: the time does not depend on equal leading bytes.
-    const auto key = bearer_key(http->head().authorization);
+    const auto key = bearer_key(http->head().authorization());
     return common::hash128(key) == common::hash128(env_.settings.operators.key);
 }
 
--- a/src/entry/partition_owner.cpp
+++ b/src/entry/partition_owner.cpp
@@ -27,7 +27,7 @@
 }
 
 partition_owner::partition_owner(boost::asio::io_context& context,
-                                 platform::log_service& log,
+                                 services::log_service& log,
                                  owner_settings settings, hooks hooks)
     : context_(context), log_(log), settings_(std::move(settings)),
       hooks_(std::move(hooks)), backoff_(settings_.retry, settings_.seed),
@@ -117,7 +117,7 @@
     settings.retry = settings_.retry;
     settings.seed = settings_.seed;
     follower_hooks hooks;
-    hooks.on_records = [this](std::vector<platform::log_record> records,
+    hooks.on_records = [this](std::vector<services::log_record> records,
                               std::uint64_t next_offset)
     {
         take_records(std::move(records), next_offset);
@@ -144,7 +144,7 @@
     become_idle();
 }
 
-void partition_owner::take_records(std::vector<platform::log_record> records,
+void partition_owner::take_records(std::vector<services::log_record> records,
                                    std::uint64_t next_offset)
 {
     const std::weak_ptr attempt(attempt_);
@@ -164,7 +164,7 @@
         hooks_.on_progress();
 }
 
-void partition_owner::take_record(const platform::log_record& it)
+void partition_owner::take_record(const services::log_record& it)
 {
     // A record that can't be parsed is applied as an empty one, which is void.
     proto::PartitionRecord record;
--- a/src/entry/partition_owner.hpp
+++ b/src/entry/partition_owner.hpp
@@ -80,7 +80,7 @@
     };
 
     partition_owner(boost::asio::io_context& context,
-                    platform::log_service& log, owner_settings settings,
+                    services::log_service& log, owner_settings settings,
                     hooks hooks);
     ~partition_owner();
 
@@ -141,9 +141,9 @@
 
 private:
     void start_reading(std::uint64_t from);
-    void take_records(std::vector<platform::log_record> records,
+    void take_records(std::vector<services::log_record> records,
                       std::uint64_t next_offset);
-    void take_record(const platform::log_record& it);
+    void take_record(const services::log_record& it);
     void finish_reading();
     void send_claim();
     void finish_claim(std::error_code ec);
@@ -156,7 +156,7 @@
     void write_checkpoint_if_due();
 
     boost::asio::io_context& context_;
-    platform::log_service& log_;
+    services::log_service& log_;
     owner_settings settings_;
     hooks hooks_;
     common::backoff backoff_;
--- a/src/entry/record_cache.cpp
+++ b/src/entry/record_cache.cpp
@@ -8,7 +8,7 @@
 
 using common::result_code;
 
-record_cache::record_cache(platform::log_service& log, std::size_t max_bytes)
+record_cache::record_cache(services::log_service& log, std::size_t max_bytes)
     : log_(log), max_bytes_(max_bytes)
 {
 }
@@ -36,13 +36,13 @@
     waiting.push_back(std::move(handler));
     if (waiting.size() > 1)
         return;
-    platform::log_read_request request;
+    services::log_read_request request;
     request.stream = batch_stream(partition);
     request.from = offset;
     request.max_bytes = 1;
     log_.read(std::move(request),
               [this, key, alive = std::weak_ptr(alive_)](
-                  std::error_code ec, platform::log_read_result result)
+                  std::error_code ec, services::log_read_result result)
               {
                   if (!alive.expired())
                       finish_load(key, ec, std::move(result));
@@ -50,7 +50,7 @@
 }
 
 void record_cache::finish_load(record_key key, std::error_code ec,
-                               platform::log_read_result result)
+                               services::log_read_result result)
 {
     const auto waiting = std::move(loading_[key]);
     loading_.erase(key);
--- a/src/entry/record_cache.hpp
+++ b/src/entry/record_cache.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERTRACK_ENTRY_RECORD_CACHE_HPP
 #define TANAGERTRACK_ENTRY_RECORD_CACHE_HPP
 
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 #include "proto/records.pb.h"
 
 #include <cstddef>
@@ -28,7 +28,7 @@
     /// Called once: a record, or `log_unavailable` or `log_offset_expired`.
     using load_handler = std::function<void(std::error_code, record_ptr)>;
 
-    record_cache(platform::log_service& log, std::size_t max_bytes);
+    record_cache(services::log_service& log, std::size_t max_bytes);
 
     /// The record if it is there; null otherwise.
     record_ptr find(std::uint32_t partition, std::uint64_t offset);
@@ -55,10 +55,10 @@
     };
 
     void finish_load(record_key key, std::error_code ec,
-                     platform::log_read_result result);
+                     services::log_read_result result);
     void insert(record_key key, record_ptr record, std::size_t bytes);
 
-    platform::log_service& log_;
+    services::log_service& log_;
     std::size_t max_bytes_;
     std::size_t bytes_ = 0;
 
--- a/src/entry/stream_appender.cpp
+++ b/src/entry/stream_appender.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 stream_appender::stream_appender(boost::asio::io_context& context,
-                                 platform::log_service& log,
+                                 services::log_service& log,
                                  appender_settings settings)
     : context_(context), log_(log), settings_(std::move(settings)),
       backoff_(settings_.retry, settings_.seed), timer_(context)
--- a/src/entry/stream_appender.hpp
+++ b/src/entry/stream_appender.hpp
@@ -3,7 +3,7 @@
 
 #include "common/backoff.hpp"
 #include "common/clock.hpp"
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 #include "proto/records.pb.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -57,7 +57,7 @@
 {
 public:
     stream_appender(boost::asio::io_context& context,
-                    platform::log_service& log, appender_settings settings);
+                    services::log_service& log, appender_settings settings);
 
     /// Calls the handlers of all entries as `drop_all`.
     ~stream_appender();
@@ -151,7 +151,7 @@
     void call_room_handlers();
 
     boost::asio::io_context& context_;
-    platform::log_service& log_;
+    services::log_service& log_;
     appender_settings settings_;
     common::backoff backoff_;
     boost::asio::steady_timer timer_;
--- a/src/entry/stream_follower.cpp
+++ b/src/entry/stream_follower.cpp
@@ -11,7 +11,7 @@
 {
 
 stream_follower::stream_follower(boost::asio::io_context& context,
-                                 platform::log_service& log,
+                                 services::log_service& log,
                                  follower_settings settings,
                                  follower_hooks hooks)
     : log_(log), settings_(std::move(settings)), hooks_(std::move(hooks)),
@@ -31,14 +31,14 @@
 void stream_follower::read()
 {
     read_started_ = common::clock::now();
-    platform::log_read_request request;
+    services::log_read_request request;
     request.stream = settings_.stream;
     request.from = position_;
     request.max_bytes = settings_.max_read_bytes;
     request.wait = settings_.wait;
     log_.read(std::move(request),
               [this, alive = std::weak_ptr(alive_)](
-                  std::error_code ec, platform::log_read_result result)
+                  std::error_code ec, services::log_read_result result)
               {
                   if (!alive.expired())
                       finish_read(ec, std::move(result));
@@ -46,7 +46,7 @@
 }
 
 void stream_follower::finish_read(std::error_code ec,
-                                  platform::log_read_result result)
+                                  services::log_read_result result)
 {
     const std::weak_ptr alive(alive_);
     if (ec == common::result_code::log_offset_expired &&
--- a/src/entry/stream_follower.hpp
+++ b/src/entry/stream_follower.hpp
@@ -3,7 +3,7 @@
 
 #include "common/backoff.hpp"
 #include "common/clock.hpp"
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -40,7 +40,7 @@
 {
     /// Records in order, possibly none, after a read that succeeded.
     /// `next_offset` is the offset that the next append gets.
-    std::function<void(std::vector<platform::log_record> records,
+    std::function<void(std::vector<services::log_record> records,
                        std::uint64_t next_offset)>
         on_records;
 
@@ -57,7 +57,7 @@
 {
 public:
     stream_follower(boost::asio::io_context& context,
-                    platform::log_service& log, follower_settings settings,
+                    services::log_service& log, follower_settings settings,
                     follower_hooks hooks);
     ~stream_follower();
 
@@ -81,10 +81,10 @@
 
 private:
     void read();
-    void finish_read(std::error_code ec, platform::log_read_result result);
+    void finish_read(std::error_code ec, services::log_read_result result);
     void read_after(common::duration delay);
 
-    platform::log_service& log_;
+    services::log_service& log_;
     follower_settings settings_;
     follower_hooks hooks_;
     common::backoff backoff_;
--- a/src/entry/ticket_submitter.cpp
+++ b/src/entry/ticket_submitter.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 ticket_submitter::ticket_submitter(boost::asio::io_context& context,
-                                   platform::log_service& log,
+                                   services::log_service& log,
                                    std::string writer, std::uint64_t seed)
     : log_(log), writer_(std::move(writer)), backoff_({}, seed), timer_(context)
 {
--- a/src/entry/ticket_submitter.hpp
+++ b/src/entry/ticket_submitter.hpp
@@ -3,7 +3,7 @@
 
 #include "common/backoff.hpp"
 #include "common/clock.hpp"
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 #include "proto/records.pb.h"
 #include "state/config_state.hpp"
 
@@ -38,7 +38,7 @@
 {
 public:
     ticket_submitter(boost::asio::io_context& context,
-                     platform::log_service& log, std::string writer,
+                     services::log_service& log, std::string writer,
                      std::uint64_t seed);
 
     /// Queues a ticket; `handler` is called once.
@@ -77,7 +77,7 @@
     void wait(std::chrono::milliseconds delay);
     void end_front(ticket_outcome outcome);
 
-    platform::log_service& log_;
+    services::log_service& log_;
     std::string writer_;
     common::backoff backoff_;
     boost::asio::steady_timer timer_;
--- /dev/null
+++ b/src/fleet/configuration.cpp
@@ -0,0 +1,73 @@
+#include "fleet/configuration.hpp"
+
+#include <utility>
+
+namespace tanagertrack::fleet
+{
+
+namespace
+{
+
+/// Key of a route. A host name has no slash, so that no two pairs share one.
+std::string prefix_key(std::string_view host, std::string_view prefix)
+{
+    std::string key(host);
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+configuration::configuration(std::uint64_t version, std::vector<route> routes,
+                             std::vector<service> services,
+                             request_limits limits)
+    : version_(version), routes_(std::move(routes)),
+      services_(std::move(services)), limits_(limits)
+{
+    for (std::size_t i = 0; i < routes_.size(); ++i)
+    {
+        const auto& it = routes_[i];
+        by_prefix_[prefix_key(it.host, it.path_prefix)] = i;
+        by_host_.emplace(it.host, i);
+        by_name_[it.name] = i;
+    }
+    for (std::size_t i = 0; i < services_.size(); ++i)
+        by_service_[services_[i].name] = i;
+}
+
+const route* configuration::find_route(std::string_view host,
+                                       std::string_view path) const
+{
+    auto key = prefix_key(host, path);
+    while (key.size() > host.size())
+    {
+        // Prefixes end with a slash.
+        key.resize(key.rfind('/') + 1);
+        if (key.size() <= host.size())
+            return nullptr;
+        const auto it = by_prefix_.find(key);
+        if (it != by_prefix_.end())
+            return &routes_[it->second];
+        key.pop_back();
+    }
+    return nullptr;
+}
+
+bool configuration::knows_host(std::string_view host) const
+{
+    return by_host_.contains(host);
+}
+
+const route* configuration::find_route_named(std::string_view name) const
+{
+    const auto it = by_name_.find(name);
+    return it == by_name_.end() ? nullptr : &routes_[it->second];
+}
+
+const service* configuration::find_service(std::string_view name) const
+{
+    const auto it = by_service_.find(name);
+    return it == by_service_.end() ? nullptr : &services_[it->second];
+}
+
+} // namespace tanagertrack::fleet
--- /dev/null
+++ b/src/http/client_connection.cpp
@@ -0,0 +1,319 @@
+#include "http/client_connection.hpp"
+
+#include "common/result_code.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/assert.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <netinet/tcp.h>
+
+namespace tanagertrack::http
+{
+
+namespace asio = boost::asio;
+namespace bhttp = boost::beast::http;
+using boost::system::error_code;
+using common::result_code;
+
+namespace
+{
+
+/// Bytes read from the socket at a time.
+constexpr std::size_t read_bytes = 4096;
+
+
+using user_timeout_option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/// Seconds in "timeout=N" of a Keep-Alive header.
+std::optional<std::chrono::seconds> keep_alive_seconds(std::string_view value)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto at = value.find(name);
+    if (at == value.npos)
+        return std::nullopt;
+    const auto digits = value.substr(at + name.size());
+    unsigned seconds = 0;
+    const auto [end, ec] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+client_connection::client_connection(asio::io_context& context,
+                                     const client_settings& settings)
+    : socket_(context), timer_(context), settings_(settings),
+      buffer_(settings.max_header_bytes + read_bytes)
+{
+}
+
+void client_connection::connect(const common::endpoint& peer,
+                                std::function<void(std::error_code)> handler)
+{
+    BOOST_ASSERT(state_ == state::fresh);
+    state_ = state::connecting;
+    connected_ = std::move(handler);
+
+    boost::intrusive_ptr<client_connection> self(this);
+    timer_.expires_after(settings_.connect_timeout);
+    timer_.async_wait(
+        [self](const error_code& ec)
+        {
+            if (!ec && self->state_ == state::connecting)
+                self->fail(make_error_code(asio::error::timed_out));
+        });
+
+    error_code ec;
+    const auto address = asio::ip::make_address(peer.address, ec);
+    const asio::ip::tcp::endpoint remote(address, peer.port);
+    socket_.async_connect(
+        remote,
+        [self](const error_code& result)
+        {
+            if (self->state_ != state::connecting)
+                return;
+            if (result)
+                return self->fail(result);
+            self->timer_.cancel();
+            self->set_options();
+            self->state_ = state::idle;
+            self->idle_since_ = common::clock::now();
+            self->read_on();
+            auto connected = std::exchange(self->connected_, nullptr);
+            connected({});
+        });
+}
+
+void client_connection::set_options()
+{
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.set_option(
+        user_timeout_option(static_cast<int>(settings_.user_timeout.count())),
+        ignored);
+}
+
+void client_connection::send(std::string request, response_hooks hooks,
+                             bool without_body)
+{
+    BOOST_ASSERT(is_idle());
+    state_ = state::busy;
+    request_ = std::move(request);
+    written_ = 0;
+    sent_ = false;
+    without_body_ = without_body;
+    hooks_ = std::make_shared<const response_hooks>(std::move(hooks));
+    paused_ = false;
+    keep_alive_.reset();
+    start_parser();
+    write_on();
+    read_on();
+}
+
+void client_connection::start_parser()
+{
+    parser_.emplace();
+    parser_->header_limit(settings_.max_header_bytes);
+    parser_->body_limit(boost::none);
+    parser_->skip(without_body_);
+    head_taken_ = false;
+}
+
+void client_connection::write_on()
+{
+    boost::intrusive_ptr<client_connection> self(this);
+    socket_.async_write_some(
+        asio::buffer(request_.data() + written_, request_.size() - written_),
+        [self](const error_code& ec, std::size_t n)
+        {
+            if (self->state_ != state::busy)
+                return;
+            if (ec)
+                return self->fail(ec);
+            self->written_ += n;
+            if (self->written_ < self->request_.size())
+                return self->write_on();
+            self->sent_ = true;
+            self->request_ = {};
+        });
+}
+
+void client_connection::read_on()
+{
+    if (reading_ || paused_ || state_ == state::closed)
+        return;
+    reading_ = true;
+    boost::intrusive_ptr<client_connection> self(this);
+    socket_.async_read_some(
+        buffer_.prepare(read_bytes),
+        [self](const error_code& ec, std::size_t n)
+        {
+            self->reading_ = false;
+            if (self->state_ != state::closed)
+                self->take_read(ec, n);
+        });
+}
+
+void client_connection::take_read(const error_code& ec, std::size_t n)
+{
+    buffer_.commit(n);
+    if (state_ == state::idle)
+    {
+        // The peer closed, or sent bytes that belong to no request.
+        const auto hook = std::exchange(idle_end_, nullptr);
+        close();
+        if (hook)
+            hook();
+        return;
+    }
+    parse();
+    if (state_ != state::busy)
+        return;
+    if (ec)
+        return take_end_of_stream(ec);
+    read_on();
+}
+
+void client_connection::parse()
+{
+    boost::intrusive_ptr<client_connection> self(this);
+    const auto hooks = hooks_;
+    std::array<char, read_bytes> piece;
+    while (state_ == state::busy && buffer_.size() != 0)
+    {
+        auto& body = parser_->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        body.more = true;
+        error_code ec;
+        const auto n = parser_->put(buffer_.data(), ec);
+        buffer_.consume(n);
+        if (ec == bhttp::error::need_buffer)
+            ec = {};
+        const bool starved = ec == bhttp::error::need_more;
+        if (ec && !starved)
+            return fail(ec);
+        if (parser_->is_header_done() && !head_taken_ && !take_head())
+            continue;
+
+        const auto length = piece.size() - body.size;
+        if (state_ == state::busy && length != 0 && hooks->on_body)
+            hooks->on_body({piece.data(), length});
+        if (state_ != state::busy)
+            return;
+        if (parser_->is_done())
+            return complete();
+        if (starved && buffer_.size() > settings_.max_header_bytes)
+            return fail(make_error_code(result_code::protocol_error));
+        if (starved)
+            return;
+    }
+}
+
+bool client_connection::take_head()
+{
+    const auto& message = parser_->get();
+    if (message.result_int() / 100 == 1)
+    {
+        // An interim answer; the final one follows.
+        start_parser();
+        return false;
+    }
+    head_taken_ = true;
+    response_head head;
+    head.status = message.result_int();
+    for (const auto& it : message)
+        head.headers.add(it.name_string(), it.value());
+    keep_alive_ = keep_alive_seconds(head.headers.find("Keep-Alive"));
+    if (const auto hooks = hooks_; hooks->on_head)
+        hooks->on_head(head);
+    return true;
+}
+
+void client_connection::take_end_of_stream(const error_code& ec)
+{
+    // A body without a length ends with its connection. One that was reset
+    // is not complete.
+    if (ec != asio::error::eof || !head_taken_ || !parser_->need_eof())
+        return fail(ec);
+    error_code result;
+    parser_->put_eof(result);
+    if (result)
+        return fail(result);
+    complete();
+}
+
+void client_connection::complete()
+{
+    // An answer before the end of the request leaves bytes of the request
+    // that the peer may still read: the connection can't be used again.
+    const bool reusable = sent_ && parser_->get().keep_alive() &&
+                          !parser_->need_eof() && buffer_.size() == 0;
+    boost::intrusive_ptr<client_connection> self(this);
+    const auto hooks = std::exchange(hooks_, nullptr);
+    parser_.reset();
+    if (reusable)
+    {
+        state_ = state::idle;
+        idle_since_ = common::clock::now();
+        idle_until_ =
+            keep_alive_ ? idle_since_ + *keep_alive_ : common::time_point::max();
+        paused_ = false;
+        read_on();
+    }
+    else
+    {
+        close();
+    }
+    if (hooks->on_end)
+        hooks->on_end({});
+}
+
+void client_connection::pause(bool paused)
+{
+    paused_ = paused;
+    if (state_ == state::busy)
+        read_on();
+}
+
+void client_connection::close()
+{
+    if (state_ == state::closed)
+        return;
+    state_ = state::closed;
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    connected_ = nullptr;
+    idle_end_ = nullptr;
+    hooks_ = nullptr;
+}
+
+void client_connection::fail(std::error_code ec)
+{
+    boost::intrusive_ptr<client_connection> self(this);
+    auto connected = std::exchange(connected_, nullptr);
+    const auto hooks = std::exchange(hooks_, nullptr);
+    close();
+    if (connected)
+        connected(ec);
+    if (hooks && hooks->on_end)
+        hooks->on_end(ec);
+}
+
+void client_connection::on_idle_end(std::function<void()> hook)
+{
+    idle_end_ = std::move(hook);
+}
+
+} // namespace tanagertrack::http
--- a/src/http/error_answer.cpp
+++ b/src/http/error_answer.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-/// Seconds after which a refused caller is asked to come back. Short, because
-/// the conditions behind these codes last seconds.
-unsigned default_retry_after_s(common::result_code code)
+/// Time after which a refused caller is asked to come back. Short, because the
+/// conditions behind these codes last seconds.
+std::chrono::seconds default_retry_after(common::result_code code)
 {
     using common::result_code;
     switch (code)
@@ -24,12 +24,12 @@
     case result_code::no_target:
     case result_code::target_refused:
     case result_code::ring_full:
-        return 1;
+        return std::chrono::seconds(1);
     case result_code::jobs_full:
     case result_code::log_unavailable:
-        return 5;
+        return std::chrono::seconds(5);
     default:
-        return 0;
+        return std::chrono::seconds(0);
     }
 }
 
@@ -60,9 +60,9 @@
 {
     whole_answer answer;
     answer.head.status = common::info(why.code).http_status;
-    answer.head.retry_after_s = why.retry_after_s != 0
-                                    ? why.retry_after_s
-                                    : default_retry_after_s(why.code);
+    answer.head.retry_after = why.retry_after.count() != 0
+                                  ? why.retry_after
+                                  : default_retry_after(why.code);
     answer.body = error_body(why, request_id);
     return answer;
 }
--- a/src/http/error_answer.hpp
+++ b/src/http/error_answer.hpp
@@ -4,6 +4,7 @@
 #include "common/result_code.hpp"
 #include "http/http_message.hpp"
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -23,8 +24,8 @@
     /// Empty: the text of the table.
     std::string message;
 
-    /// Seconds; 0: the default of the code, if it has one.
-    unsigned retry_after_s = 0;
+    /// When to come back; 0: the default of the code, if it has one.
+    std::chrono::milliseconds retry_after{0};
 };
 
 /// JSON body `{"error":{...}}` of a rejection.
--- /dev/null
+++ b/src/http/event_splitter.cpp
@@ -0,0 +1,125 @@
+#include "http/event_splitter.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace tanagertrack::http
+{
+
+namespace
+{
+
+/// Calls `visit` with each line of an event, without its end.
+template<typename Visit>
+void for_each_line(std::string_view bytes, Visit visit)
+{
+    while (!bytes.empty())
+    {
+        const auto n = std::min(bytes.find('\n'), bytes.size());
+        auto line = bytes.substr(0, n);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        visit(line);
+        bytes.remove_prefix(std::min(n + 1, bytes.size()));
+    }
+}
+
+/// Value of a line with the field `name`; nothing for another line.
+std::optional<std::string_view> field_value(std::string_view line,
+                                            std::string_view name)
+{
+    if (!line.starts_with(name))
+        return std::nullopt;
+    line.remove_prefix(name.size());
+    if (line.empty())
+        return line;
+    if (line.front() != ':')
+        return std::nullopt;
+    line.remove_prefix(1);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    return line;
+}
+
+std::optional<std::uint64_t> event_id(std::string_view bytes)
+{
+    std::optional<std::uint64_t> id;
+    for_each_line(bytes,
+                  [&id](std::string_view line)
+                  {
+                      const auto value = field_value(line, "id");
+                      std::uint64_t number = 0;
+                      if (!value)
+                          return;
+                      const auto [end, ec] = std::from_chars(
+                          value->data(), value->data() + value->size(), number);
+                      if (ec == std::errc())
+                          id = number;
+                  });
+    return id;
+}
+
+/// Offset behind the first blank line at or after `from`; npos if there is
+/// none.
+std::size_t find_event_end(std::string_view bytes, std::size_t from)
+{
+    for (auto at = bytes.find('\n', from); at != bytes.npos;
+         at = bytes.find('\n', at + 1))
+    {
+        if (at + 1 < bytes.size() && bytes[at + 1] == '\n')
+            return at + 2;
+        if (at + 2 < bytes.size() && bytes[at + 1] == '\r' &&
+            bytes[at + 2] == '\n')
+            return at + 3;
+    }
+    return bytes.npos;
+}
+
+} // namespace
+
+std::string event_data(std::string_view bytes)
+{
+    std::string data;
+    bool first = true;
+    for_each_line(bytes,
+                  [&](std::string_view line)
+                  {
+                      const auto value = field_value(line, "data");
+                      if (!value)
+                          return;
+                      if (!std::exchange(first, false))
+                          data += '\n';
+                      data += *value;
+                  });
+    return data;
+}
+
+event_splitter::event_splitter(std::size_t max_event_bytes, handler on_event)
+    : max_event_bytes_(max_event_bytes), on_event_(std::move(on_event))
+{
+}
+
+bool event_splitter::feed(std::string_view piece)
+{
+    buf_ += piece;
+    std::size_t begin = 0;
+    for (;;)
+    {
+        const auto end = find_event_end(buf_, std::max(begin, searched_));
+        if (end == std::string::npos)
+            break;
+        const auto bytes = std::string_view(buf_).substr(begin, end - begin);
+        begin = end;
+        searched_ = end;
+        on_event_({bytes, event_id(bytes)});
+    }
+    buf_.erase(0, begin);
+
+    // The end of a line may be the first half of a blank line.
+    constexpr std::size_t longest_blank = 3;
+    searched_ = buf_.size() - std::min(buf_.size(), longest_blank);
+    return buf_.size() <= max_event_bytes_;
+}
+
+} // namespace tanagertrack::http
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -59,6 +59,23 @@
         acceptor_.close(ignored);
     }
 
+    void set_settings(http_settings settings)
+    {
+        settings_ = std::move(settings);
+    }
+
+    void drain()
+    {
+        shared_->draining = true;
+    }
+
+    void close_idle()
+    {
+        // Closing a session takes it out of the set only later.
+        for (auto* it : sessions_)
+            it->close_if_idle();
+    }
+
     void close_all()
     {
         shared_->detached = true;
@@ -165,6 +182,21 @@
     impl_->stop_accepting();
 }
 
+void http_server::set_settings(http_settings settings)
+{
+    impl_->set_settings(std::move(settings));
+}
+
+void http_server::drain()
+{
+    impl_->drain();
+}
+
+void http_server::close_idle()
+{
+    impl_->close_idle();
+}
+
 std::size_t http_server::serving() const
 {
     return impl_->serving();
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -45,6 +45,17 @@
     /// Accepts no further connections; open ones go on.
     void stop_accepting();
 
+    /// Sets the limits of requests and connections from now on. On the
+    /// server's thread.
+    void set_settings(http_settings settings);
+
+    /// Ends each connection with its next answer.
+    void drain();
+
+    /// Closes the connections on which no request is under way. On the
+    /// server's thread.
+    void close_idle();
+
     /// Requests whose answer is not handed to the socket yet. Any thread.
     std::size_t serving() const;
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -34,6 +34,9 @@
 /// Largest piece of a body given to its reader.
 constexpr std::size_t piece_bytes = 64 * 1024;
 
+/// Piece of a body whose length is not known beforehand.
+constexpr std::size_t unknown_piece_bytes = 16 * 1024;
+
 /// Room for pipelined input while an answer is prepared.
 constexpr std::size_t monitor_bytes = 4096;
 
@@ -62,6 +65,17 @@
            spent;
 }
 
+/// Seconds, with a fraction where there is one.
+std::string seconds_text(std::chrono::milliseconds value)
+{
+    const auto whole = value.count() / 1000;
+    const auto rest = value.count() % 1000;
+    auto text = std::to_string(whole);
+    if (rest != 0)
+        text += '.' + std::to_string(1000 + rest).substr(1);
+    return text;
+}
+
 bool has_no_body(unsigned status)
 {
     return status == 204 || status == 304 || status < 200;
@@ -86,6 +100,12 @@
     return stream_.get_executor();
 }
 
+void http_session::close_if_idle()
+{
+    if (!current_ && !parser_ && buffer_.size() == 0)
+        close();
+}
+
 void http_session::close()
 {
     broken_ = true;
@@ -208,9 +228,8 @@
     auto& head = current_->head;
     head.method = message.method_string();
     head.target = message.target();
-    head.authorization = message[bhttp::field::authorization];
-    head.idempotency_key = message["Idempotency-Key"];
-    head.content_type = message[bhttp::field::content_type];
+    for (const auto& it : message)
+        head.headers.add(it.name_string(), it.value());
     head.request_id = common::random_id();
     head.content_length = parser_->content_length().value_or(0);
     current_->body_complete = parser_->is_done();
@@ -269,6 +288,14 @@
                    end]() mutable { reader(ec, std::move(chunk), end); });
 }
 
+std::size_t http_session::next_piece_bytes() const
+{
+    const auto length = current_->head.content_length;
+    if (length == 0)
+        return unknown_piece_bytes;
+    return std::min<std::uint64_t>(piece_bytes, length - current_->body_bytes);
+}
+
 asio::awaitable<bool> http_session::send_continue()
 {
     if (!std::exchange(expects_continue_, false) || buffer_.size() != 0)
@@ -288,7 +315,7 @@
     if (!continues)
         co_return;
 
-    std::string piece(piece_bytes, '\0');
+    std::string piece(next_piece_bytes(), '\0');
     auto& body = parser_->get().body();
     body.data = piece.data();
     body.size = piece.size();
@@ -359,7 +386,7 @@
 std::string http_session::head_text(const answer_head& head,
                                     std::optional<std::size_t> length)
 {
-    if (head.close || !current_->body_complete)
+    if (head.close || server_->draining || !current_->body_complete)
         keep_alive_ = false;
     chunked_ = !length;
     if (chunked_ && !peer_uses_http_1_1())
@@ -367,16 +394,20 @@
 
     std::string out = "HTTP/1.1 " + std::to_string(head.status) + ' ';
     out += bhttp::obsolete_reason(static_cast<bhttp::status>(head.status));
-    out += "\r\nContent-Type: " + head.content_type;
+    out += "\r\n";
+    if (!head.content_type.empty())
+        out += "Content-Type: " + head.content_type + "\r\n";
+    head.headers.append_to(out);
     if (length && !has_no_body(head.status))
-        out += "\r\nContent-Length: " + std::to_string(*length);
+        out += "Content-Length: " + std::to_string(*length) + "\r\n";
     else if (chunked_ && peer_uses_http_1_1())
-        out += "\r\nTransfer-Encoding: chunked\r\nCache-Control: no-store";
-    out += "\r\nX-Request-Id: " + current_->head.request_id;
-    if (head.retry_after_s != 0)
-        out += "\r\nRetry-After: " + std::to_string(head.retry_after_s);
-    out += keep_alive_ ? "\r\nConnection: keep-alive\r\n\r\n"
-                       : "\r\nConnection: close\r\n\r\n";
+        out += "Transfer-Encoding: chunked\r\n";
+    if (settings_.adds_request_id)
+        out += "X-Request-Id: " + current_->head.request_id + "\r\n";
+    if (head.retry_after.count() != 0)
+        out += "Retry-After: " + seconds_text(head.retry_after) + "\r\n";
+    out += keep_alive_ ? "Connection: keep-alive\r\n\r\n"
+                       : "Connection: close\r\n\r\n";
     return out;
 }
 
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -38,6 +38,9 @@
         /// calls of exchanges are dropped.
         std::atomic<bool> detached{false};
 
+        /// Connections end with their next answer.
+        std::atomic<bool> draining{false};
+
         /// Requests whose answer is not handed to the socket yet.
         std::atomic<std::size_t> serving{0};
     };
@@ -55,6 +58,9 @@
     /// Closes the connection.
     void close();
 
+    /// Closes the connection unless a request is under way.
+    void close_if_idle();
+
     boost::asio::any_io_executor executor();
 
     /// Whether the server is gone. Any thread.
@@ -83,6 +89,7 @@
     boost::asio::awaitable<void> refuse(common::result_code code);
     boost::asio::awaitable<void> wait_for_wake();
 
+    std::size_t next_piece_bytes() const;
     std::string head_text(const answer_head& head,
                           std::optional<std::size_t> length);
     void append_step(std::string& out, const answer_step& step);
--- a/src/http/http_settings.hpp
+++ b/src/http/http_settings.hpp
@@ -29,6 +29,9 @@
 
     /// Time that a connection stays open between two requests.
     std::chrono::milliseconds idle_timeout{60000};
+
+    /// Whether answers carry X-Request-Id.
+    bool adds_request_id = true;
 };
 
 } // namespace tanagertrack::http
--- /dev/null
+++ b/src/routing/target_load.hpp
@@ -0,0 +1,78 @@
+#ifndef TANAGERTRACK_ROUTING_TARGET_LOAD_HPP
+#define TANAGERTRACK_ROUTING_TARGET_LOAD_HPP
+
+#include "common/clock.hpp"
+#include "routing/subset.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+namespace tanagertrack::routing
+{
+
+/// Class of work; online work goes before batch work.
+enum class work_class : std::uint8_t
+{
+    online,
+    batch
+};
+
+/// What a target reported of itself with an answer.
+struct load_report
+{
+    /// Requests that run and that wait, of all callers.
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+
+    /// Time that work takes, relative to the usual; 0: not reported.
+    double slowdown = 0;
+    common::time_point taken;
+};
+
+/// What an entry knows of the load of one target.
+struct target_load
+{
+    /// Requests that the target runs at a time, at least 1.
+    std::uint32_t slots = 1;
+    distance far = distance::same_data_centre;
+
+    /// Requests under way from this entry, and from others as they told.
+    std::uint32_t own_online = 0;
+    std::uint32_t own_batch = 0;
+    std::uint32_t peer_online = 0;
+    std::uint32_t peer_batch = 0;
+
+    load_report reported;
+
+    /// Not chosen before this time, unless nothing else is left.
+    common::time_point avoided_until;
+
+    /// Online requests under way.
+    std::uint32_t online() const
+    {
+        return own_online + peer_online;
+    }
+
+    /// Batch items under way.
+    std::uint32_t batch() const
+    {
+        return own_batch + peer_batch;
+    }
+
+    /// Requests under way.
+    std::uint32_t total() const
+    {
+        return online() + batch();
+    }
+
+    /// Places that are taken by nobody.
+    std::uint32_t free_slots() const
+    {
+        return slots - std::min(slots, total());
+    }
+};
+
+} // namespace tanagertrack::routing
+
+#endif
--- a/src/platform/host_list.hpp
+++ b/src/services/host_list.hpp
@@ -1,5 +1,5 @@
-#ifndef TANAGERTRACK_PLATFORM_HOST_LIST_HPP
-#define TANAGERTRACK_PLATFORM_HOST_LIST_HPP
+#ifndef TANAGERTRACK_SERVICES_HOST_LIST_HPP
+#define TANAGERTRACK_SERVICES_HOST_LIST_HPP
 
 #include "common/endpoint.hpp"
 
@@ -13,7 +13,7 @@
 class io_context;
 } // namespace boost::asio
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// State of a host in the platform's list, which lags behind the truth.
@@ -43,6 +43,6 @@
 host_list make_http_host_list(boost::asio::io_context& context,
                               common::endpoint address);
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/platform/http_get.cpp
+++ b/src/services/http_get.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_get.hpp"
+#include "services/http_get.hpp"
 
 #include "common/result_code.hpp"
 
@@ -17,7 +17,7 @@
 #include <string_view>
 #include <utility>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 namespace
@@ -85,4 +85,4 @@
                    asio::detached);
 }
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
--- a/src/platform/http_get.hpp
+++ b/src/services/http_get.hpp
@@ -1,5 +1,5 @@
-#ifndef TANAGERTRACK_PLATFORM_HTTP_GET_HPP
-#define TANAGERTRACK_PLATFORM_HTTP_GET_HPP
+#ifndef TANAGERTRACK_SERVICES_HTTP_GET_HPP
+#define TANAGERTRACK_SERVICES_HTTP_GET_HPP
 
 #include "common/endpoint.hpp"
 
@@ -14,7 +14,7 @@
 class io_context;
 } // namespace boost::asio
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// What to read and how much of it.
@@ -50,6 +50,6 @@
 void http_get(boost::asio::io_context& context, get_request request,
               get_handler handler);
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/platform/http_host_list.cpp
+++ b/src/services/http_host_list.cpp
@@ -1,13 +1,13 @@
 #include "common/result_code.hpp"
-#include "platform/host_list.hpp"
-#include "platform/http_get.hpp"
+#include "services/host_list.hpp"
+#include "services/http_get.hpp"
 
 #include <boost/json.hpp>
 
 #include <chrono>
 #include <utility>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 namespace
@@ -75,4 +75,4 @@
     return list;
 }
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
--- a/src/platform/http_log.cpp
+++ b/src/services/http_log.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_log.hpp"
+#include "services/http_log.hpp"
 
 #include "common/clock.hpp"
 #include "common/result_code.hpp"
@@ -23,7 +23,7 @@
 #include <optional>
 #include <utility>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 namespace asio = boost::asio;
@@ -387,4 +387,4 @@
     return service;
 }
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
--- a/src/platform/http_log.hpp
+++ b/src/services/http_log.hpp
@@ -1,8 +1,8 @@
-#ifndef TANAGERTRACK_PLATFORM_HTTP_LOG_HPP
-#define TANAGERTRACK_PLATFORM_HTTP_LOG_HPP
+#ifndef TANAGERTRACK_SERVICES_HTTP_LOG_HPP
+#define TANAGERTRACK_SERVICES_HTTP_LOG_HPP
 
 #include "common/endpoint.hpp"
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -12,7 +12,7 @@
 class io_context;
 } // namespace boost::asio
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// Settings of the client of the log service.
@@ -35,6 +35,6 @@
 log_service make_http_log(boost::asio::io_context& context,
                           http_log_settings settings);
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/platform/http_target.cpp
+++ b/src/services/http_target.cpp
@@ -1,7 +1,7 @@
-#include "platform/http_target.hpp"
+#include "services/http_target.hpp"
 
 #include "common/result_code.hpp"
-#include "platform/sse_parser.hpp"
+#include "services/sse_parser.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,7 +24,7 @@
 #include <utility>
 #include <vector>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 namespace
@@ -470,4 +470,4 @@
     return service;
 }
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
--- a/src/platform/http_target.hpp
+++ b/src/services/http_target.hpp
@@ -1,8 +1,8 @@
-#ifndef TANAGERTRACK_PLATFORM_HTTP_TARGET_HPP
-#define TANAGERTRACK_PLATFORM_HTTP_TARGET_HPP
+#ifndef TANAGERTRACK_SERVICES_HTTP_TARGET_HPP
+#define TANAGERTRACK_SERVICES_HTTP_TARGET_HPP
 
 #include "common/endpoint.hpp"
-#include "platform/target_service.hpp"
+#include "services/target_service.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -12,7 +12,7 @@
 class io_context;
 } // namespace boost::asio
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// Settings of the client of a target.
@@ -33,6 +33,6 @@
 target_service make_http_target(boost::asio::io_context& context,
                                 http_target_settings settings);
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/platform/http_weight_store.cpp
+++ b/src/services/http_weight_store.cpp
@@ -1,10 +1,10 @@
 #include "common/result_code.hpp"
-#include "platform/http_get.hpp"
-#include "platform/weight_store.hpp"
+#include "services/http_get.hpp"
+#include "services/weight_store.hpp"
 
 #include <utility>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 namespace
@@ -52,4 +52,4 @@
     return store;
 }
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
--- a/src/platform/log_service.hpp
+++ b/src/services/log_service.hpp
@@ -1,5 +1,5 @@
-#ifndef TANAGERTRACK_PLATFORM_LOG_SERVICE_HPP
-#define TANAGERTRACK_PLATFORM_LOG_SERVICE_HPP
+#ifndef TANAGERTRACK_SERVICES_LOG_SERVICE_HPP
+#define TANAGERTRACK_SERVICES_LOG_SERVICE_HPP
 
 #include <chrono>
 #include <cstddef>
@@ -9,7 +9,7 @@
 #include <system_error>
 #include <vector>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// A record as the log gives it back.
@@ -70,6 +70,6 @@
         read;
 };
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/platform/sse_parser.cpp
+++ b/src/services/sse_parser.cpp
@@ -1,8 +1,8 @@
-#include "platform/sse_parser.hpp"
+#include "services/sse_parser.hpp"
 
 #include <utility>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 namespace
@@ -83,4 +83,4 @@
         on_event_(data);
 }
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
--- a/src/platform/sse_parser.hpp
+++ b/src/services/sse_parser.hpp
@@ -1,12 +1,12 @@
-#ifndef TANAGERTRACK_PLATFORM_SSE_PARSER_HPP
-#define TANAGERTRACK_PLATFORM_SSE_PARSER_HPP
+#ifndef TANAGERTRACK_SERVICES_SSE_PARSER_HPP
+#define TANAGERTRACK_SERVICES_SSE_PARSER_HPP
 
 #include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// Parses a stream of server-sent events that comes in pieces of any size.
@@ -42,6 +42,6 @@
     bool after_return_ = false;
 };
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/platform/target_service.hpp
+++ b/src/services/target_service.hpp
@@ -1,5 +1,5 @@
-#ifndef TANAGERTRACK_PLATFORM_TARGET_SERVICE_HPP
-#define TANAGERTRACK_PLATFORM_TARGET_SERVICE_HPP
+#ifndef TANAGERTRACK_SERVICES_TARGET_SERVICE_HPP
+#define TANAGERTRACK_SERVICES_TARGET_SERVICE_HPP
 
 #include <chrono>
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <system_error>
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// A call to a target: a model engine or a plain service.
@@ -94,6 +94,6 @@
         order;
 };
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/platform/weight_store.hpp
+++ b/src/services/weight_store.hpp
@@ -1,5 +1,5 @@
-#ifndef TANAGERTRACK_PLATFORM_WEIGHT_STORE_HPP
-#define TANAGERTRACK_PLATFORM_WEIGHT_STORE_HPP
+#ifndef TANAGERTRACK_SERVICES_WEIGHT_STORE_HPP
+#define TANAGERTRACK_SERVICES_WEIGHT_STORE_HPP
 
 #include "common/endpoint.hpp"
 
@@ -14,7 +14,7 @@
 class io_context;
 } // namespace boost::asio
 
-namespace tanagertrack::platform
+namespace tanagertrack::services
 {
 
 /// Answer of the weight store.
@@ -48,6 +48,6 @@
                        common::endpoint address,
                        std::uint64_t max_bytes = default_max_weight_bytes);
 
-} // namespace tanagertrack::platform
+} // namespace tanagertrack::services
 
 #endif
--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -2,6 +2,7 @@
 #include "common/logging.hpp"
 #include "config/settings.hpp"
 #include "entry/entry_process.hpp"
+#include "platform/platform_entry.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -69,6 +70,8 @@
         std::cout << file.getValue() << ": accepted\n";
         return exit_ok;
     }
+    if (settings.callers == "platform")
+        return platform::platform_entry(settings).run();
     if (settings.role == "entry")
         return entry::entry_process(settings).run();
     return agent::agent_process(std::move(settings)).run();
@@ -78,14 +81,17 @@
 
 int main(int argc, char** argv)
 {
-    common::init_logging(argv[0]);
+    common::init_logging();
     try
     {
-        return run(argc, argv);
+        const int status = run(argc, argv);
+        common::flush_log();
+        return status;
     }
     catch (const std::exception& e)
     {
         common::log_error("fatal", {{"what", e.what()}});
+        common::flush_log();
         return exit_failed;
     }
 }
--- /dev/null
+++ b/src/targets/attempt.cpp
@@ -0,0 +1,205 @@
+#include "targets/attempt.hpp"
+
+#include "common/result_code.hpp"
+
+#include <boost/assert.hpp>
+
+#include <utility>
+
+namespace tanagertrack::targets
+{
+
+using common::result_code;
+using outcome = attempt_end::outcome;
+
+namespace
+{
+
+/// Bytes of one event of a stream.
+constexpr std::size_t max_event_bytes = 1024UL * 1024;
+
+/// Time for which a target is avoided that can't be connected to.
+constexpr auto unreachable_time = std::chrono::milliseconds(1000);
+
+bool is_success(unsigned status)
+{
+    return status / 100 == 2;
+}
+
+} // namespace
+
+attempt::attempt(const target_protocol& protocol, target_ptr where,
+                 attempt_order order, attempt_hooks hooks)
+    : protocol_(protocol), where_(std::move(where)), order_(std::move(order)),
+      hooks_(std::move(hooks)),
+      splitter_(max_event_bytes, [this](const http::stream_event& event)
+                { take_event(event); }),
+      last_event_(order_.after_event)
+{
+}
+
+attempt::~attempt()
+{
+    leave_load();
+}
+
+void attempt::start()
+{
+    BOOST_ASSERT(!counted_ && !ended_);
+    counted_ = true;
+    auto& load = where_->load;
+    ++(order_.work == routing::work_class::online ? load.own_online
+                                                  : load.own_batch);
+    started_at_ = common::clock::now();
+    last_progress_ = started_at_;
+    where_->connect(order_.max_rest,
+                    [self = attempt_ptr(this)](std::error_code ec,
+                                               taken_connection taken)
+                    { self->connected(ec, std::move(taken)); });
+}
+
+void attempt::connected(std::error_code ec, taken_connection taken)
+{
+    if (ended_)
+    {
+        // Cancelled meanwhile: the connection serves the next request.
+        if (!ec)
+            where_->keep(taken.connection);
+        return;
+    }
+    if (ec)
+    {
+        where_->load.avoided_until = common::clock::now() + unreachable_time;
+        return finish({outcome::not_run, 0, ec, "connect_failed"});
+    }
+    connection_ = std::move(taken.connection);
+    first_on_connection_ = !taken.reused;
+    sent_ = true;
+
+    const attempt_ptr self(this);
+    http::response_hooks hooks;
+    hooks.on_head = [self](const http::response_head& head)
+    {
+        self->take_head(head);
+    };
+    hooks.on_body = [self](std::string_view piece)
+    {
+        self->take_body(piece);
+    };
+    hooks.on_end = [self](std::error_code result)
+    {
+        self->take_end(result);
+    };
+    connection_->send(std::move(order_.request), std::move(hooks),
+                      order_.without_body);
+}
+
+void attempt::take_head(const http::response_head& head)
+{
+    last_progress_ = common::clock::now();
+    const auto kind =
+        protocol_.classify(head, {order_.request_id, first_on_connection_});
+    if (kind == answer_kind::foreign)
+        return finish({outcome::failed, 0,
+                       make_error_code(result_code::protocol_error),
+                       "foreign_answer"});
+
+    if (auto report = protocol_.read_load(head))
+    {
+        report->taken = last_progress_;
+        where_->load.reported = *report;
+    }
+    status_ = head.status;
+    answered_ = true;
+    not_run_ = kind == answer_kind::not_run;
+    splits_events_ = order_.events && is_success(status_);
+    if (!not_run_ && hooks_.on_head)
+        hooks_.on_head(head);
+}
+
+void attempt::take_body(std::string_view piece)
+{
+    last_progress_ = common::clock::now();
+    if (not_run_ || ended_)
+        return;
+    if (!splits_events_)
+    {
+        if (hooks_.on_piece)
+            hooks_.on_piece(piece, std::nullopt);
+        return;
+    }
+    if (!splitter_.feed(piece) && !ended_)
+        finish({outcome::failed, status_,
+                make_error_code(result_code::protocol_error),
+                "event_too_large"});
+}
+
+void attempt::take_event(const http::stream_event& event)
+{
+    if (ended_)
+        return;
+    if (event.id && last_event_ && *event.id != *last_event_ + 1)
+        return finish({outcome::failed, status_,
+                       make_error_code(result_code::protocol_error),
+                       "event_out_of_order"});
+    if (event.id)
+        last_event_ = event.id;
+    if (hooks_.on_piece)
+        hooks_.on_piece(event.bytes, event.id);
+}
+
+void attempt::take_end(std::error_code ec)
+{
+    if (ended_)
+        return;
+    if (not_run_)
+        return finish({outcome::not_run, status_, {}, "refused_by_target"});
+    if (ec)
+        return finish({outcome::failed, status_, ec,
+                       answered_ ? "answer_cut" : "no_answer"});
+    if (splits_events_ && splitter_.pending() != 0)
+        return finish({outcome::failed, status_,
+                       make_error_code(result_code::protocol_error),
+                       "event_cut"});
+    finish({outcome::complete, status_, {}, "complete"});
+}
+
+void attempt::finish(attempt_end end)
+{
+    const attempt_ptr self(this);
+    ended_ = true;
+    leave_load();
+    if (auto connection = std::exchange(connection_, nullptr))
+        where_->keep(connection);
+    auto hooks = std::exchange(hooks_, {});
+    if (hooks.on_end)
+        hooks.on_end(end);
+}
+
+void attempt::cancel()
+{
+    if (std::exchange(ended_, true))
+        return;
+    const attempt_ptr self(this);
+    leave_load();
+    hooks_ = {};
+    if (auto connection = std::exchange(connection_, nullptr))
+        connection->close();
+}
+
+void attempt::pause(bool paused)
+{
+    if (connection_)
+        connection_->pause(paused);
+}
+
+void attempt::leave_load()
+{
+    if (!std::exchange(counted_, false))
+        return;
+    auto& load = where_->load;
+    --(order_.work == routing::work_class::online ? load.own_online
+                                                  : load.own_batch);
+}
+
+} // namespace tanagertrack::targets
--- /dev/null
+++ b/src/targets/target.cpp
@@ -0,0 +1,81 @@
+#include "targets/target.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagertrack::targets
+{
+
+namespace
+{
+
+/// Before the end of its time, as stated by the target, a connection is not
+/// used any more: the request and the target's close could cross.
+constexpr auto keep_alive_margin = std::chrono::milliseconds(400);
+
+/// Connections at rest for each place of a target.
+constexpr std::size_t resting_per_slot = 2;
+
+} // namespace
+
+target::target(boost::asio::io_context& context, std::string id,
+               fleet::target_announcement announced)
+    : context_(context), id_(std::move(id))
+{
+    set_announced(std::move(announced));
+}
+
+void target::set_announced(fleet::target_announcement value)
+{
+    announced_ = std::move(value);
+    load.slots = std::max(1U, announced_.slots);
+}
+
+void target::connect(
+    std::chrono::milliseconds max_rest,
+    const std::function<void(std::error_code, taken_connection)>& handler)
+{
+    const auto now = common::clock::now();
+    while (!resting_.empty())
+    {
+        // The one that rested shortest is the least likely to be closed.
+        auto it = resting_.back();
+        const bool alive =
+            it->is_idle() && now + keep_alive_margin < it->idle_until();
+        if (alive && now - it->idle_since() > max_rest)
+            break;
+        resting_.pop_back();
+        it->on_idle_end(nullptr);
+        if (alive)
+            return handler({}, {std::move(it), true});
+        it->close();
+    }
+
+    ++connections_made_;
+    http::client_connection_ptr it(
+        new http::client_connection(context_, http::client_settings()));
+    it->connect(announced_.address, [it, handler](std::error_code ec)
+                { handler(ec, {it, false}); });
+}
+
+void target::keep(const http::client_connection_ptr& connection)
+{
+    const auto most = resting_per_slot * load.slots;
+    if (!in_use_ || !connection->is_idle() || resting_.size() >= most)
+        return connection->close();
+    auto* raw = connection.get();
+    connection->on_idle_end(
+        [self = target_ptr(this), raw]
+        { std::erase_if(self->resting_, [raw](const auto& it)
+                        { return it.get() == raw; }); });
+    resting_.push_back(connection);
+}
+
+void target::depart()
+{
+    in_use_ = false;
+    for (auto& it : std::exchange(resting_, {}))
+        it->close();
+}
+
+} // namespace tanagertrack::targets
--- /dev/null
+++ b/src/targets/target_set.cpp
@@ -0,0 +1,77 @@
+#include "targets/target_set.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagertrack::targets
+{
+
+target_set::target_set(boost::asio::io_context& context, process_place place)
+    : context_(context), place_(std::move(place))
+{
+}
+
+void target_set::add(const std::string& id,
+                     const fleet::target_announcement& value)
+{
+    const auto found = by_id_.find(id);
+    if (found != by_id_.end())
+    {
+        const auto& known = found->second->announced();
+        if (known.started_ms == value.started_ms &&
+            known.address == value.address && known.service == value.service)
+            return found->second->set_announced(value);
+        remove(id);
+    }
+    target_ptr it(new target(context_, id, value));
+    it->load.far = distance_to(value.data_centre);
+    by_id_[id] = it;
+    by_service_[value.service].push_back(it);
+}
+
+void target_set::remove(const std::string& id)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end())
+        return;
+    const auto it = found->second;
+    by_id_.erase(found);
+    std::erase(by_service_[it->announced().service], it);
+    it->depart();
+}
+
+const std::vector<target_ptr>&
+target_set::of_service(std::string_view service) const
+{
+    static const std::vector<target_ptr> none;
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? none : found->second;
+}
+
+target* target_set::find(std::string_view id) const
+{
+    const auto found = by_id_.find(id);
+    return found == by_id_.end() ? nullptr : found->second.get();
+}
+
+void target_set::for_each(const std::function<void(target&)>& visit) const
+{
+    for (const auto& [id, it] : by_id_)
+        visit(*it);
+}
+
+std::string_view target_set::region_of(const std::string& data_centre) const
+{
+    const auto found = place_.regions.find(data_centre);
+    return found == place_.regions.end() ? place_.region : found->second;
+}
+
+routing::distance
+target_set::distance_to(const std::string& data_centre) const
+{
+    return routing::distance_between(
+        {place_.data_centre, place_.region},
+        {data_centre, region_of(data_centre)});
+}
+
+} // namespace tanagertrack::targets
--- a/test/agent/test_work.cpp
+++ b/test/agent/test_work.cpp
@@ -41,16 +41,16 @@
 {
     struct call
     {
-        platform::target_request request;
-        platform::target_hooks hooks;
+        services::target_request request;
+        services::target_hooks hooks;
         std::atomic<bool> cancelled{false};
     };
 
-    platform::target_service service()
+    services::target_service service()
     {
-        platform::target_service it;
-        it.call = [this](platform::target_request request,
-                         platform::target_hooks hooks)
+        services::target_service it;
+        it.call = [this](services::target_request request,
+                         services::target_hooks hooks)
         {
             const std::lock_guard lock(mutex);
             auto& made = calls.emplace_back(std::make_shared<call>());
--- a/test/entry/fake_log.hpp
+++ b/test/entry/fake_log.hpp
@@ -2,7 +2,7 @@
 #define TANAGERTRACK_TEST_ENTRY_FAKE_LOG_HPP
 
 #include "common/result_code.hpp"
-#include "platform/log_service.hpp"
+#include "services/log_service.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -27,12 +27,12 @@
     explicit fake_log(boost::asio::io_context& context) : context_(context)
     {
         service.append = [this](std::string stream, std::string data,
-                                platform::log_append_handler handler)
+                                services::log_append_handler handler)
         {
             append(stream, std::move(data), std::move(handler));
         };
-        service.read = [this](platform::log_read_request request,
-                              platform::log_read_handler handler)
+        service.read = [this](services::log_read_request request,
+                              services::log_read_handler handler)
         {
             read(std::move(request), std::move(handler));
         };
@@ -49,7 +49,7 @@
         return streams_[stream].records;
     }
 
-    platform::log_service service;
+    services::log_service service;
 
     /// Next appends that take effect although their answer is lost.
     int lose_answers = 0;
@@ -58,8 +58,8 @@
 private:
     struct waiting_read
     {
-        platform::log_read_request request;
-        platform::log_read_handler handler;
+        services::log_read_request request;
+        services::log_read_handler handler;
 
         /// Ends the wait.
         std::shared_ptr<boost::asio::steady_timer> timer;
@@ -73,7 +73,7 @@
     };
 
     void append(const std::string& name, std::string data,
-                platform::log_append_handler handler)
+                services::log_append_handler handler)
     {
         using common::result_code;
         if (outage)
@@ -96,12 +96,12 @@
             read(std::move(it.request), std::move(it.handler));
     }
 
-    void read(platform::log_read_request request,
-              platform::log_read_handler handler)
+    void read(services::log_read_request request,
+              services::log_read_handler handler)
     {
         using common::result_code;
         auto& stream = streams_[request.stream];
-        platform::log_read_result result;
+        services::log_read_result result;
         result.first_offset = stream.first;
         result.next_offset = stream.records.size() + 1;
         if (outage || request.from < stream.first)
@@ -125,8 +125,8 @@
                  { handler({}, result); });
     }
 
-    void wait(stream_state& stream, platform::log_read_request request,
-              platform::log_read_handler handler)
+    void wait(stream_state& stream, services::log_read_request request,
+              services::log_read_handler handler)
     {
         const auto timer =
             std::make_shared<boost::asio::steady_timer>(context_, request.wait);
--- a/test/entry/test_batch_core.cpp
+++ b/test/entry/test_batch_core.cpp
@@ -187,9 +187,9 @@
         service.add_not_repeatable("POST /once");
         config.publish(fleet);
 
-        platform::log_service cut;
+        services::log_service cut;
         cut.append = [this, &log](std::string stream, std::string data,
-                                  platform::log_append_handler handler)
+                                  services::log_append_handler handler)
         {
             if (isolated)
                 boost::asio::post(
@@ -198,15 +198,15 @@
             else
                 log.service.append(stream, data, handler);
         };
-        cut.read = [this, &log](platform::log_read_request request,
-                                platform::log_read_handler handler)
+        cut.read = [this, &log](services::log_read_request request,
+                                services::log_read_handler handler)
         {
             log.service.read(
                 request,
                 [this, handler](std::error_code ec, auto result)
                 {
                     handler(isolated ? result_code::log_unavailable : ec,
-                            isolated ? platform::log_read_result{} : result);
+                            isolated ? services::log_read_result{} : result);
                 });
         };
         core = std::make_shared<entry::batch_core>(entry::batch_core::parts{
--- a/test/entry/test_batch_streams.cpp
+++ b/test/entry/test_batch_streams.cpp
@@ -135,7 +135,7 @@
     settings.retry = {std::chrono::milliseconds(1),
                       std::chrono::milliseconds(2)};
     entry::follower_hooks hooks;
-    hooks.on_records = [&](std::vector<platform::log_record> records, auto)
+    hooks.on_records = [&](std::vector<services::log_record> records, auto)
     {
         for (const auto& it : records)
             text += it.data;
--- a/test/platform/test_http_get.cpp
+++ b/test/services/test_http_get.cpp
@@ -1,7 +1,7 @@
 #include "common/result_code.hpp"
-#include "platform/host_list.hpp"
-#include "platform/scripted_server.hpp"
-#include "platform/weight_store.hpp"
+#include "services/host_list.hpp"
+#include "services/scripted_server.hpp"
+#include "services/weight_store.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,13 +21,13 @@
                             {""}});
     boost::asio::io_context context;
     const auto store =
-        platform::make_http_weight_store(context, server.address(), 1024);
+        services::make_http_weight_store(context, server.address(), 1024);
     const auto read = [&]
     {
         std::error_code result;
-        platform::weight_answer weights;
+        services::weight_answer weights;
         store.read("scribi",
-                   [&](std::error_code ec, platform::weight_answer it)
+                   [&](std::error_code ec, services::weight_answer it)
                    {
                        result = ec;
                        weights = std::move(it);
@@ -55,13 +55,13 @@
          {answer(200, R"([{"host":"10.0.0.1","state":"live"},{"host":7}])")},
          {answer(503, "")}});
     boost::asio::io_context context;
-    const auto list = platform::make_http_host_list(context, server.address());
+    const auto list = services::make_http_host_list(context, server.address());
     const auto fetch = [&]
     {
         std::error_code result;
-        std::vector<platform::listed_host> hosts;
+        std::vector<services::listed_host> hosts;
         list.fetch(
-            [&](std::error_code ec, std::vector<platform::listed_host> it)
+            [&](std::error_code ec, std::vector<services::listed_host> it)
             {
                 result = ec;
                 hosts = std::move(it);
@@ -72,7 +72,7 @@
     };
     const auto whole = fetch().second;
     BOOST_TEST_REQUIRE(whole.size() == 2u);
-    BOOST_TEST((whole[1].state == platform::host_state::leaving));
+    BOOST_TEST((whole[1].state == services::host_state::leaving));
     BOOST_TEST(fetch().first == result_code::protocol_error);
     BOOST_TEST(fetch().first == result_code::connection_lost);
 }
--- a/test/platform/test_http_log.cpp
+++ b/test/services/test_http_log.cpp
@@ -1,6 +1,6 @@
 #include "common/result_code.hpp"
-#include "platform/http_log.hpp"
-#include "platform/scripted_server.hpp"
+#include "services/http_log.hpp"
+#include "services/scripted_server.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,7 +24,7 @@
 };
 
 append_result append(boost::asio::io_context& context,
-                     platform::log_service& log)
+                     services::log_service& log)
 {
     std::optional<append_result> result;
     log.append("s", "data",
@@ -40,15 +40,15 @@
 struct read_outcome
 {
     std::error_code ec;
-    platform::log_read_result result;
+    services::log_read_result result;
 };
 
-read_outcome read(boost::asio::io_context& context, platform::log_service& log,
+read_outcome read(boost::asio::io_context& context, services::log_service& log,
                   std::uint64_t from)
 {
     std::optional<read_outcome> outcome;
     log.read({"s", from},
-             [&](std::error_code ec, platform::log_read_result result) {
+             [&](std::error_code ec, services::log_read_result result) {
                  outcome = read_outcome{ec, std::move(result)};
              });
     context.restart();
@@ -66,7 +66,7 @@
                              answer(503, ""), answer(500, ""), ""},
                             {answer(200, "garbage")}});
     boost::asio::io_context context;
-    auto log = platform::make_http_log(context, {server.address()});
+    auto log = services::make_http_log(context, {server.address()});
     BOOST_TEST(append(context, log).offset == 7u);
     BOOST_TEST(append(context, log).ec == result_code::log_unavailable);
     BOOST_TEST(append(context, log).ec == result_code::log_unavailable);
@@ -87,7 +87,7 @@
         address = {"127.0.0.1", unused.local_endpoint().port()};
     }
     boost::asio::io_context context;
-    auto log = platform::make_http_log(context, {address});
+    auto log = services::make_http_log(context, {address});
     BOOST_TEST(append(context, log).ec == result_code::log_unavailable);
     BOOST_TEST(read(context, log, 1).ec == result_code::log_unavailable);
 }
@@ -102,7 +102,7 @@
         {{answer(200, body, "X-First-Offset: 2\r\nX-Next-Offset: 7\r\n"), ""},
          {answer(410, R"({"first":9})"), answer(200, body.substr(0, 13))}});
     boost::asio::io_context context;
-    auto log = platform::make_http_log(context, {server.address()});
+    auto log = services::make_http_log(context, {server.address()});
 
     const auto first = read(context, log, 5);
     BOOST_TEST(!first.ec);
@@ -126,9 +126,9 @@
     tcp::acceptor silent(server_context,
                          {boost::asio::ip::make_address("127.0.0.1"), 0});
     boost::asio::io_context context;
-    platform::http_log_settings settings;
+    services::http_log_settings settings;
     settings.address = {"127.0.0.1", silent.local_endpoint().port()};
     settings.timeout = std::chrono::milliseconds(50);
-    auto log = platform::make_http_log(context, settings);
+    auto log = services::make_http_log(context, settings);
     BOOST_TEST(append(context, log).ec == result_code::log_append_unknown);
 }
--- a/test/platform/test_http_target.cpp
+++ b/test/services/test_http_target.cpp
@@ -1,6 +1,6 @@
 #include "common/result_code.hpp"
-#include "platform/http_target.hpp"
-#include "platform/sse_parser.hpp"
+#include "services/http_target.hpp"
+#include "services/sse_parser.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -19,7 +19,7 @@
 #include <vector>
 
 using namespace tanagertrack;
-using namespace tanagertrack::platform;
+using namespace tanagertrack::services;
 using common::result_code;
 
 namespace
