Serve the platform's batch jobs; entries exchange their load

Change: jobs lie in one topic whose fold all entries keep, texts in another. The process that accepts a job runs it; a group of the store shows who is gone, and its jobs are taken over in the log. Entries tell each other by datagrams what they have under way; batch items are taken back from a target that has more requests than places, in an order that all entries compute alike.

--- /dev/null
+++ b/src/batch/environment.hpp
@@ -0,0 +1,71 @@
+#ifndef TANAGERTRACK_BATCH_ENVIRONMENT_HPP
+#define TANAGERTRACK_BATCH_ENVIRONMENT_HPP
+
+#include "fleet/configuration.hpp"
+#include "routing/placement.hpp"
+#include "targets/protocol.hpp"
+#include "targets/target_set.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace tanagertrack::batch
+{
+
+/// Times and bounds of batch work.
+struct batch_settings
+{
+    /// Places of each target that batch work leaves free.
+    std::uint32_t reserve = 0;
+
+    /// Time without an event after which an item goes on elsewhere.
+    std::chrono::milliseconds patience{1500};
+
+    /// Time between looks for items to start and for silent targets.
+    std::chrono::milliseconds tick{50};
+
+    /// Ends of items that wait for the store, and their bytes; above, no item
+    /// is started.
+    std::size_t max_unrecorded = 4096;
+    std::size_t max_unrecorded_bytes = 16UL * 1024 * 1024;
+
+    /// Time for which an end waits for others to share an append.
+    std::chrono::milliseconds record_interval{100};
+
+    /// Time without a route after which a job's items are given up: the
+    /// operator removed it.
+    std::chrono::milliseconds routeless_time{3000};
+
+    /// Due time of jobs whose route states none.
+    std::chrono::milliseconds default_due{std::chrono::hours(24)};
+};
+
+/// What runs batch items. One thread.
+struct environment
+{
+    boost::asio::io_context& context;
+    const batch_settings& settings;
+    const targets::target_protocol& protocol;
+    targets::target_set& targets;
+    routing::placement& place;
+
+    /// Configuration in effect; null before the first.
+    std::function<fleet::configuration_ptr()> configuration;
+
+    /// Items on a target that other entries take back before this one does.
+    std::function<std::uint32_t(const targets::target&)> yields_before;
+
+    /// Free places of a target that other entries may take before this one.
+    std::function<std::uint32_t(const targets::target&)> starts_before;
+};
+
+} // namespace tanagertrack::batch
+
+#endif
--- /dev/null
+++ b/src/batch/result_recorder.cpp
@@ -0,0 +1,115 @@
+#include "batch/result_recorder.hpp"
+
+#include "common/logging.hpp"
+
+#include <map>
+#include <utility>
+
+namespace tanagertrack::batch
+{
+
+namespace
+{
+
+/// Bytes of texts in one append; when reached, they are appended at once.
+constexpr std::size_t max_write_bytes = 512UL * 1024;
+
+} // namespace
+
+result_recorder::result_recorder(boost::asio::io_context& context,
+                                 job_log& jobs, text_store& texts,
+                                 std::chrono::milliseconds interval)
+    : jobs_(jobs), texts_(texts), interval_(interval), timer_(context)
+{
+}
+
+void result_recorder::add(item_end end)
+{
+    ++unrecorded_;
+    unrecorded_bytes_ += end.text.size();
+    taken_bytes_ += end.text.size();
+    taken_.push_back(std::move(end));
+    if (taken_bytes_ >= max_write_bytes)
+        return flush();
+    schedule();
+}
+
+void result_recorder::schedule()
+{
+    if (std::exchange(scheduled_, true))
+        return;
+    timer_.expires_after(interval_);
+    timer_.async_wait(
+        [this](const auto& ec)
+        {
+            if (!ec)
+                flush();
+        });
+}
+
+void result_recorder::flush()
+{
+    scheduled_ = false;
+    timer_.cancel();
+    taken_bytes_ = 0;
+    if (!taken_.empty())
+        write(std::exchange(taken_, {}));
+}
+
+void result_recorder::write(std::vector<item_end> ends)
+{
+    std::vector<jobs::ItemText> texts(ends.size());
+    std::size_t bytes = 0;
+    for (std::size_t i = 0; i < ends.size(); ++i)
+    {
+        texts[i].set_item(ends[i].item_id);
+        bytes += ends[i].text.size();
+        texts[i].set_text(std::move(ends[i].text));
+    }
+    texts_.write(
+        std::move(texts),
+        [this, bytes, ends = std::move(ends)](
+            std::error_code ec,
+            const std::vector<state::text_location>& places)
+        {
+            if (!ec)
+                return append(ends, places, bytes);
+            common::log_error("results_dropped", {{"items", ends.size()},
+                                                  {"what", ec.message()}});
+            unrecorded_ -= ends.size();
+            unrecorded_bytes_ -= bytes;
+        });
+}
+
+void result_recorder::append(const std::vector<item_end>& ends,
+                             const std::vector<state::text_location>& places,
+                             std::size_t bytes)
+{
+    std::map<std::string, jobs::JobRecord> by_job;
+    for (std::size_t i = 0; i < ends.size(); ++i)
+    {
+        auto& results = *by_job[ends[i].job].mutable_results();
+        results.set_job(ends[i].job);
+        auto& result = *results.add_results();
+        result.set_item(ends[i].item);
+        result.set_state(ends[i].state);
+        result.set_text_partition(places[i].partition);
+        result.set_text_offset(places[i].offset);
+    }
+    std::vector<jobs::JobRecord> records;
+    for (auto& [job, record] : by_job)
+        records.push_back(std::move(record));
+    jobs_.append(records, true,
+                 [this, n = ends.size(), bytes](std::error_code ec,
+                                                std::uint64_t)
+                 {
+                     if (ec)
+                         common::log_error("results_dropped",
+                                           {{"items", n},
+                                            {"what", ec.message()}});
+                     unrecorded_ -= n;
+                     unrecorded_bytes_ -= bytes;
+                 });
+}
+
+} // namespace tanagertrack::batch
--- /dev/null
+++ b/src/batch/result_recorder.hpp
@@ -0,0 +1,79 @@
+#ifndef TANAGERTRACK_BATCH_RESULT_RECORDER_HPP
+#define TANAGERTRACK_BATCH_RESULT_RECORDER_HPP
+
+#include "batch/job_log.hpp"
+#include "batch/text_store.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tanagertrack::batch
+{
+
+/// The end of an item.
+struct item_end
+{
+    std::string job;
+    std::uint32_t item = 0;
+    std::string item_id;
+    jobs::ItemState state = jobs::ITEM_DONE;
+
+    /// Data of all events.
+    std::string text;
+};
+
+/// Records ends of items: first their texts, then, when it is known where
+/// these are, the results. Several ends share an append. One thread.
+class result_recorder
+{
+public:
+    result_recorder(boost::asio::io_context& context, job_log& jobs,
+                    text_store& texts, std::chrono::milliseconds interval);
+
+    result_recorder(const result_recorder&) = delete;
+    result_recorder& operator=(const result_recorder&) = delete;
+
+    /// Takes an end. It is recorded as soon as the store takes it.
+    void add(item_end end);
+
+    /// Records what was taken at once.
+    void flush();
+
+    /// Ends whose results were not acknowledged by the store, and the bytes
+    /// of their texts.
+    std::size_t unrecorded() const
+    {
+        return unrecorded_;
+    }
+
+    std::size_t unrecorded_bytes() const
+    {
+        return unrecorded_bytes_;
+    }
+
+private:
+    void schedule();
+    void write(std::vector<item_end> ends);
+    void append(const std::vector<item_end>& ends,
+                const std::vector<state::text_location>& places,
+                std::size_t bytes);
+
+    job_log& jobs_;
+    text_store& texts_;
+    std::chrono::milliseconds interval_;
+    boost::asio::steady_timer timer_;
+    bool scheduled_ = false;
+    std::vector<item_end> taken_;
+    std::size_t taken_bytes_ = 0;
+    std::size_t unrecorded_ = 0;
+    std::size_t unrecorded_bytes_ = 0;
+};
+
+} // namespace tanagertrack::batch
+
+#endif
--- /dev/null
+++ b/src/batch/results.hpp
@@ -0,0 +1,96 @@
+#ifndef TANAGERTRACK_BATCH_RESULTS_HPP
+#define TANAGERTRACK_BATCH_RESULTS_HPP
+
+#include "batch/job_log.hpp"
+#include "batch/text_store.hpp"
+#include "common/clock.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace tanagertrack::batch
+{
+
+/// One result of a job.
+struct job_result
+{
+    std::string item_id;
+    jobs::ItemState state = jobs::ITEM_DONE;
+    std::string text;
+};
+
+/// Results of a job from a position on.
+struct results_page
+{
+    /// No error, `unknown_job`, or `log_unavailable`: it is not certain what
+    /// there is.
+    std::error_code ec;
+    std::size_t items = 0;
+    std::vector<job_result> results;
+
+    /// Position behind the last result.
+    std::size_t next = 0;
+};
+
+/// Answers reads of jobs, whoever runs them. What is not known yet is looked up
+/// in the store before it is denied. One thread.
+class results
+{
+public:
+    results(boost::asio::io_context& context, job_log& jobs,
+            text_store& texts);
+
+    results(const results&) = delete;
+    results& operator=(const results&) = delete;
+
+    /// Reads the results at positions from `after` on, at most `max_bytes` of
+    /// text but at least one if there is one. Without any, waits for at most
+    /// `wait`.
+    void read(const std::string& job, std::size_t after, std::size_t max_bytes,
+              std::chrono::milliseconds wait,
+              std::function<void(const results_page&)> done);
+
+    /// Reads the request body of an item that has not ended. Errors:
+    /// `unknown_job`, `log_unavailable`.
+    void read_body(const std::string& job, const std::string& item,
+                   std::function<void(std::error_code, std::string)> done);
+
+    /// Ends a job: its open items are not run. Errors: `unknown_job`,
+    /// `log_unavailable`.
+    void end(const std::string& job, std::function<void(std::error_code)> done);
+
+    /// Calls `found` with the job, or with null after it was made certain that
+    /// there is none; an error when that is not possible.
+    void find(const std::string& job,
+              std::function<void(std::error_code, const state::batch_job*)>
+                  found);
+
+private:
+    struct page_read;
+    using page_read_ptr = std::shared_ptr<page_read>;
+
+    void check(const page_read_ptr& it);
+    void wait(const page_read_ptr& it);
+    void read_texts(const page_read_ptr& it);
+    void take_text(const page_read_ptr& it, std::error_code ec,
+                   const jobs::ItemText& text);
+    void end_read(const page_read_ptr& it, std::error_code ec);
+    void wake(const std::string& job);
+
+    boost::asio::io_context& context_;
+    job_log& jobs_;
+    text_store& texts_;
+    std::multimap<std::string, page_read_ptr> waiting_;
+};
+
+} // namespace tanagertrack::batch
+
+#endif
--- /dev/null
+++ b/src/batch/text_store.cpp
@@ -0,0 +1,116 @@
+#include "batch/text_store.hpp"
+
+#include "common/hash.hpp"
+#include "common/logging.hpp"
+#include "common/result_code.hpp"
+
+#include <utility>
+
+namespace tanagertrack::batch
+{
+
+using common::result_code;
+
+namespace
+{
+
+/// Bytes asked for to get one text. The store answers with whole records and
+/// with at least one.
+constexpr std::size_t read_bytes = 1024;
+
+} // namespace
+
+text_store::text_store(boost::asio::io_context& context,
+                       const store::store_service& service,
+                       text_store_settings settings)
+    : service_(service), settings_(std::move(settings)),
+      own_partition_(static_cast<std::uint32_t>(
+          common::hash64(settings_.member) % settings_.partitions)),
+      writer_(std::make_shared<store::partition_writer>(
+          context, service, store::partition_ref{topic, own_partition_},
+          settings_.member, settings_.writing))
+{
+}
+
+void text_store::write(std::vector<jobs::ItemText> texts, write_handler done)
+{
+    std::vector<std::string> records;
+    records.reserve(texts.size());
+    for (const auto& it : texts)
+        records.push_back(it.SerializeAsString());
+    writer_->append(
+        std::move(records), true,
+        [this, texts = std::move(texts),
+         done = std::move(done)](std::error_code ec, std::uint64_t offset)
+        {
+            std::vector<state::text_location> places;
+            for (const auto& it : texts)
+            {
+                if (ec)
+                    break;
+                places.push_back({own_partition_, offset});
+                remember({own_partition_, offset}, it);
+                ++offset;
+            }
+            done(ec, std::move(places));
+        });
+}
+
+void text_store::read(const state::text_location& place, read_handler done)
+{
+    if (const auto* cached = find_cached({place.partition, place.offset}))
+        return done({}, *cached);
+    store::read_call call;
+    call.from = {topic, place.partition};
+    call.offset = place.offset;
+    call.max_bytes = read_bytes;
+    service_.read(call,
+                  [this, place, done = std::move(done)](
+                      const store::read_result& result)
+                  { take_read(place, result, done); });
+}
+
+void text_store::take_read(const state::text_location& place,
+                           const store::read_result& result,
+                           const read_handler& done)
+{
+    jobs::ItemText text;
+    if (result.ec)
+        return done(result.ec, text);
+    if (result.records.empty() || !text.ParseFromString(result.records.front()))
+    {
+        common::log_warning("text_unreadable",
+                            {{"partition", place.partition},
+                             {"offset", place.offset},
+                             {"records", result.records.size()}});
+        return done(make_error_code(result_code::log_unavailable), text);
+    }
+    remember({place.partition, place.offset}, text);
+    done({}, text);
+}
+
+void text_store::remember(const place_key& place, jobs::ItemText text)
+{
+    if (index_.contains(place))
+        return;
+    cache_bytes_ += text.text().size();
+    cache_.push_front({place, std::move(text)});
+    index_[place] = cache_.begin();
+    while (cache_bytes_ > settings_.max_cache_bytes)
+    {
+        cache_bytes_ -= cache_.back().text.text().size();
+        index_.erase(cache_.back().place);
+        cache_.pop_back();
+    }
+}
+
+const jobs::ItemText* text_store::find_cached(const place_key& place)
+{
+    const auto it = index_.find(place);
+    if (it == index_.end())
+        return nullptr;
+    cache_.splice(cache_.begin(), cache_, it->second);
+    return &it->second->text;
+}
+
+} // namespace tanagertrack::batch
--- /dev/null
+++ b/src/batch/text_store.hpp
@@ -0,0 +1,91 @@
+#ifndef TANAGERTRACK_BATCH_TEXT_STORE_HPP
+#define TANAGERTRACK_BATCH_TEXT_STORE_HPP
+
+#include "proto/jobs.pb.h"
+#include "state/job_table.hpp"
+#include "store/partition_writer.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+namespace tanagertrack::batch
+{
+
+/// Settings of the store of texts.
+struct text_store_settings
+{
+    /// Unique for each start of a process.
+    std::string member;
+
+    /// Partitions of the topic.
+    std::uint32_t partitions = 1;
+    store::writer_settings writing;
+
+    /// Bytes of texts that are kept in memory.
+    std::size_t max_cache_bytes = 1024UL * 1024;
+};
+
+/// The texts of items, in a topic of their own so that who only follows the
+/// jobs does not read them. Each process writes to one partition. One thread.
+class text_store
+{
+public:
+    using write_handler =
+        std::function<void(std::error_code, std::vector<state::text_location>)>;
+    using read_handler =
+        std::function<void(std::error_code, const jobs::ItemText&)>;
+
+    text_store(boost::asio::io_context& context,
+               const store::store_service& service,
+               text_store_settings settings);
+
+    text_store(const text_store&) = delete;
+    text_store& operator=(const text_store&) = delete;
+
+    /// Appends texts; waits for the store. At most as many as fit into one
+    /// append.
+    void write(std::vector<jobs::ItemText> texts, write_handler done);
+
+    /// Reads one text.
+    void read(const state::text_location& place, read_handler done);
+
+    /// Topic of the texts.
+    static constexpr const char* topic = "texts";
+
+private:
+    using place_key = std::pair<std::uint32_t, std::uint64_t>;
+
+    struct cached_text
+    {
+        place_key place;
+        jobs::ItemText text;
+    };
+
+    /// Most recently used first.
+    using cache_list = std::list<cached_text>;
+
+    void remember(const place_key& place, jobs::ItemText text);
+    const jobs::ItemText* find_cached(const place_key& place);
+    void take_read(const state::text_location& place,
+                   const store::read_result& result, const read_handler& done);
+
+    store::store_service service_;
+    text_store_settings settings_;
+    std::uint32_t own_partition_;
+    std::shared_ptr<store::partition_writer> writer_;
+    cache_list cache_;
+    std::map<place_key, cache_list::iterator> index_;
+    std::size_t cache_bytes_ = 0;
+};
+
+} // namespace tanagertrack::batch
+
+#endif
--- /dev/null
+++ b/src/peers/load_exchange.cpp
@@ -0,0 +1,222 @@
+#include "peers/load_exchange.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagertrack::peers
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr double percent = 100.0;
+
+/// Reports that are older say nothing that the others don't know.
+constexpr auto max_report_age = milliseconds(500);
+
+} // namespace
+
+load_exchange::load_exchange(asio::io_context& context,
+                             targets::target_set& set, std::string member,
+                             exchange_settings settings,
+                             std::function<own_state()> own,
+                             std::function<void()> changed)
+    : targets_(set), member_(std::move(member)), settings_(settings),
+      own_(std::move(own)), changed_(std::move(changed)), socket_(context),
+      timer_(context)
+{
+}
+
+std::error_code load_exchange::start(const common::endpoint& local)
+{
+    error_code ec;
+    const udp::endpoint address(asio::ip::make_address(local.address, ec),
+                                local.port);
+    if (!ec)
+        socket_.open(address.protocol(), ec);
+    if (!ec)
+        socket_.bind(address, ec);
+    if (!ec)
+        socket_.non_blocking(true, ec);
+    if (ec)
+        return ec;
+    receive();
+    schedule(settings_.max_interval);
+    return {};
+}
+
+void load_exchange::stop()
+{
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+}
+
+void load_exchange::add_peer(const std::string& member,
+                             const common::endpoint& address)
+{
+    error_code ec;
+    const auto number = asio::ip::make_address(address.address, ec);
+    if (!ec && member != member_)
+        peers_[member] = udp::endpoint(number, address.port);
+}
+
+void load_exchange::remove_peer(const std::string& member)
+{
+    peers_.erase(member);
+    loads_.remove(member);
+    update_targets();
+}
+
+void load_exchange::note_change()
+{
+    if (std::exchange(dirty_, true))
+        return;
+    const auto since =
+        duration_cast<milliseconds>(common::clock::now() - last_send_);
+    schedule(std::max(milliseconds(0), settings_.min_interval - since));
+}
+
+void load_exchange::schedule(milliseconds delay)
+{
+    timer_.expires_after(delay);
+    timer_.async_wait(
+        [this](const error_code& ec)
+        {
+            if (!ec && socket_.is_open())
+                send();
+        });
+}
+
+void load_exchange::send()
+{
+    const auto now = common::clock::now();
+    if (loads_.expire(now))
+    {
+        update_targets();
+        changed_();
+    }
+    dirty_ = false;
+    const auto bytes = make_message(now).SerializeAsString();
+    last_send_ = now;
+    for (const auto& [member, address] : peers_)
+    {
+        // A datagram that can't be sent now is as good as lost.
+        error_code ignored;
+        socket_.send_to(asio::buffer(bytes), address, 0, ignored);
+    }
+    schedule(settings_.max_interval);
+}
+
+LoadMessage load_exchange::make_message(common::time_point now)
+{
+    LoadMessage message;
+    message.set_member(member_);
+    message.set_sequence(++sequence_);
+    const auto own = own_();
+    message.set_waiting_items(own.waiting_items);
+    message.set_reaches_store(own.reaches_store);
+    targets_.for_each(
+        [&](targets::target& it)
+        {
+            const auto key = it.key();
+            if (it.load.own_online + it.load.own_batch != 0)
+            {
+                auto& use = *message.add_uses();
+                use.set_target(key);
+                use.set_online(it.load.own_online);
+                use.set_batch(it.load.own_batch);
+            }
+            const auto& report = it.load.reported;
+            if (!report.own || report.taken <= last_send_ ||
+                now - report.taken > max_report_age)
+                return;
+            auto& out = *message.add_reports();
+            out.set_target(key);
+            out.set_running(report.running);
+            out.set_waiting(report.waiting);
+            out.set_slowdown_percent(
+                static_cast<std::uint32_t>(report.slowdown * percent));
+            out.set_age_ms(static_cast<std::uint32_t>(
+                duration_cast<milliseconds>(now - report.taken).count()));
+        });
+    return message;
+}
+
+void load_exchange::receive()
+{
+    socket_.async_receive_from(asio::buffer(in_), sender_,
+                               [this](const error_code& ec, std::size_t n)
+                               {
+                                   if (!socket_.is_open())
+                                       return;
+                                   if (!ec)
+                                       take(n);
+                                   receive();
+                               });
+}
+
+void load_exchange::take(std::size_t n)
+{
+    LoadMessage message;
+    const bool readable =
+        message.ParseFromArray(in_.data(), static_cast<int>(n));
+    const auto peer =
+        readable ? peers_.find(message.member()) : peers_.end();
+    if (peer == peers_.end() || peer->second != sender_)
+        return;
+    if (!loads_.take(message, common::clock::now()))
+        return;
+    take_reports(message);
+    update_targets();
+    changed_();
+}
+
+void load_exchange::take_reports(const LoadMessage& message)
+{
+    const auto now = common::clock::now();
+    std::map<std::uint32_t, const TargetReport*> reports;
+    for (const auto& it : message.reports())
+        reports[it.target()] = &it;
+    if (reports.empty())
+        return;
+    targets_.for_each(
+        [&](targets::target& it)
+        {
+            const auto found = reports.find(it.key());
+            if (found == reports.end())
+                return;
+            const auto& report = *found->second;
+            const auto taken = now - milliseconds(report.age_ms());
+            if (taken <= it.load.reported.taken)
+                return;
+            it.load.reported.running = report.running();
+            it.load.reported.waiting = report.waiting();
+            it.load.reported.slowdown = report.slowdown_percent() / percent;
+            it.load.reported.taken = taken;
+            it.load.reported.own = false;
+        });
+}
+
+void load_exchange::update_targets()
+{
+    targets_.for_each(
+        [this](targets::target& it)
+        {
+            const auto use = loads_.use_of(it.key());
+            it.load.peer_online = use.online;
+            it.load.peer_batch = use.batch;
+        });
+}
+
+} // namespace tanagertrack::peers
--- /dev/null
+++ b/src/peers/peer_loads.cpp
@@ -0,0 +1,92 @@
+#include "peers/peer_loads.hpp"
+
+#include "common/hash.hpp"
+
+#include <algorithm>
+
+namespace tanagertrack::peers
+{
+
+bool peer_loads::take(const peers::LoadMessage& message, common::time_point now)
+{
+    auto& it = members_[message.member()];
+    if (message.sequence() <= it.sequence)
+        return false;
+    it.sequence = message.sequence();
+    it.heard = now;
+    it.waiting_items = message.waiting_items();
+    it.reaches_store = message.reaches_store();
+    it.uses.clear();
+    for (const auto& use : message.uses())
+        it.uses[use.target()] = {use.online(), use.batch()};
+    return true;
+}
+
+bool peer_loads::expire(common::time_point now)
+{
+    return std::erase_if(members_, [now](const auto& it)
+                         { return now - it.second.heard > lifetime; }) != 0;
+}
+
+void peer_loads::remove(std::string_view member)
+{
+    const auto it = members_.find(member);
+    if (it != members_.end())
+        members_.erase(it);
+}
+
+target_use peer_loads::use_of(std::uint32_t target) const
+{
+    target_use sum;
+    for (const auto& [member, it] : members_)
+    {
+        const auto use = it.uses.find(target);
+        if (use == it.uses.end())
+            continue;
+        sum.online += use->second.online;
+        sum.batch += use->second.batch;
+    }
+    return sum;
+}
+
+std::uint64_t peer_loads::rank(std::uint32_t target, std::string_view member)
+{
+    return common::hash64(member, target);
+}
+
+std::uint32_t peer_loads::batch_before(std::uint32_t target,
+                                       std::string_view self) const
+{
+    const auto own = rank(target, self);
+    std::uint32_t sum = 0;
+    for (const auto& [member, it] : members_)
+    {
+        const auto use = it.uses.find(target);
+        if (use != it.uses.end() && rank(target, member) < own)
+            sum += use->second.batch;
+    }
+    return sum;
+}
+
+std::uint32_t peer_loads::starters_before(std::uint32_t target,
+                                          std::string_view self) const
+{
+    const auto own = rank(target, self);
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        members_, [&](const auto& it)
+        { return it.second.waiting_items != 0 && rank(target, it.first) < own; }));
+}
+
+bool peer_loads::reaches_store(std::string_view member) const
+{
+    const auto it = members_.find(member);
+    return it != members_.end() && it->second.reaches_store;
+}
+
+bool peer_loads::any_reaches_store() const
+{
+    return std::ranges::any_of(members_, [](const auto& it)
+                               { return it.second.reaches_store; });
+}
+
+} // namespace tanagertrack::peers
--- /dev/null
+++ b/src/peers/peer_loads.hpp
@@ -0,0 +1,84 @@
+#ifndef TANAGERTRACK_PEERS_PEER_LOADS_HPP
+#define TANAGERTRACK_PEERS_PEER_LOADS_HPP
+
+#include "common/clock.hpp"
+#include "proto/peers.pb.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace tanagertrack::peers
+{
+
+/// Requests of one entry on one target.
+struct target_use
+{
+    std::uint32_t online = 0;
+    std::uint32_t batch = 0;
+};
+
+/// What the other entries told of their load. Pure: time is an argument. One
+/// thread.
+class peer_loads
+{
+public:
+    /// Time without a message after which an entry counts as gone.
+    static constexpr std::chrono::milliseconds lifetime{1500};
+
+    /// Takes a message; false for one that is older than the last.
+    bool take(const peers::LoadMessage& message, common::time_point now);
+
+    /// Drops entries that are silent for too long. True: there were some.
+    bool expire(common::time_point now);
+
+    /// Drops an entry.
+    void remove(std::string_view member);
+
+    /// Use of a target by all other entries together.
+    target_use use_of(std::uint32_t target) const;
+
+    /// Batch items on the target that other entries take back before `self`
+    /// does. All entries compute the same order.
+    std::uint32_t batch_before(std::uint32_t target,
+                               std::string_view self) const;
+
+    /// Entries with waiting items that may take a free place of the target
+    /// before `self`.
+    std::uint32_t starters_before(std::uint32_t target,
+                                  std::string_view self) const;
+
+    /// Whether an entry is heard and says that it reaches the store.
+    bool reaches_store(std::string_view member) const;
+
+    /// Whether any other entry reaches the store.
+    bool any_reaches_store() const;
+
+    /// Entries that are heard.
+    std::size_t size() const
+    {
+        return members_.size();
+    }
+
+private:
+    struct member_state
+    {
+        std::uint64_t sequence = 0;
+        common::time_point heard;
+        std::map<std::uint32_t, target_use> uses;
+        std::uint32_t waiting_items = 0;
+        bool reaches_store = false;
+    };
+
+    static std::uint64_t rank(std::uint32_t target, std::string_view member);
+
+    std::map<std::string, member_state, std::less<>> members_;
+};
+
+} // namespace tanagertrack::peers
+
+#endif
--- a/src/routing/target_load.hpp
+++ b/src/routing/target_load.hpp
@@ -28,6 +28,9 @@
     /// Time that work takes, relative to the usual; 0: not reported.
     double slowdown = 0;
     common::time_point taken;
+
+    /// It came with an answer to this process, not from another entry.
+    bool own = false;
 };
 
 /// What an entry knows of the load of one target.
--- /dev/null
+++ b/src/state/job_table.hpp
@@ -0,0 +1,214 @@
+#ifndef TANAGERTRACK_STATE_JOB_TABLE_HPP
+#define TANAGERTRACK_STATE_JOB_TABLE_HPP
+
+#include "proto/jobs.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tanagertrack::state
+{
+
+/// Place of a record in the topic of texts.
+struct text_location
+{
+    std::uint32_t partition = 0;
+    std::uint64_t offset = 0;
+
+    bool operator==(const text_location&) const = default;
+};
+
+/// Progress that a process left when it stopped.
+struct item_progress
+{
+    std::uint64_t last_event = 0;
+    text_location text;
+    std::uint32_t failures = 0;
+};
+
+/// One item of an accepted job.
+struct job_item
+{
+    /// Hash of the item's id.
+    std::uint64_t id_hash = 0;
+    std::uint32_t tokens = 0;
+    jobs::ItemState state = jobs::ITEM_OPEN;
+
+    /// Where the result is, once the item is not open.
+    text_location text;
+};
+
+/// Records of consecutive items of a job.
+struct job_part
+{
+    std::uint64_t offset = 0;
+    std::uint32_t first_item = 0;
+    std::uint32_t item_count = 0;
+};
+
+/// An accepted job.
+struct batch_job
+{
+    std::string id;
+    std::string route;
+    std::string host;
+
+    /// Process that runs the job.
+    std::string runner;
+
+    /// Offset of the record that made the job accepted.
+    std::uint64_t accepted_at = 0;
+    std::uint64_t created_ms = 0;
+    std::uint32_t due_after_ms = 0;
+    std::vector<job_item> items;
+    std::vector<job_part> parts;
+
+    /// Items in the order in which they ended: a result's position.
+    std::vector<std::uint32_t> results;
+    std::map<std::uint32_t, item_progress> progress;
+
+    /// The caller does not want the open items any more.
+    bool ended = false;
+
+    /// Whether items are still to be run.
+    bool is_open() const
+    {
+        return !ended && results.size() < items.size();
+    }
+
+    /// Index of an item; nothing for an unknown id.
+    std::optional<std::uint32_t> find_item(std::string_view item_id) const;
+};
+
+/// A process that runs jobs.
+struct batch_member
+{
+    std::string id;
+    std::string host;
+    std::string address;
+    std::uint16_t port = 0;
+
+    /// It stopped, or its host started another one.
+    bool gone = false;
+};
+
+/// What became of a request to accept a job.
+enum class commit_verdict : std::uint8_t
+{
+    accepted,
+
+    /// The job was accepted before.
+    repeated,
+
+    /// Too many tokens of the route wait.
+    over_limit,
+
+    /// Parts are missing.
+    incomplete
+};
+
+/// Told by `job_table::apply` after the state has changed.
+struct job_table_hooks
+{
+    std::function<void(const jobs::JobCommit&, commit_verdict)> on_commit;
+
+    /// The first end of an item was read.
+    std::function<void(const batch_job&, std::uint32_t item)> on_result;
+    std::function<void(const batch_job&)> on_ended;
+
+    /// Another process runs the job now.
+    std::function<void(const batch_job&, const std::string& from)> on_taken;
+    std::function<void(const batch_member&)> on_member;
+};
+
+/// All batch jobs: the fold of the topic "jobs". A function of the records
+/// alone, so that all readers agree after the same prefix. Pure; one thread.
+///
+/// Rules, in the order of the log:
+/// - A commit makes a job accepted if no job of its id was, if its intake's
+///   parts cover its items, and if the waiting tokens of its route and its own
+///   are within the limit that it states. Otherwise it has no effect.
+/// - Tokens of an item wait until the item has ended or its job was ended.
+/// - The first end of an item counts; its position is the number of ends of
+///   the job before it. Ends after the job's own end count too.
+/// - A job is taken only from the process that runs it.
+/// - A start of a process makes others of its host gone. A process that finds
+///   itself gone, by a late write of an earlier one, starts again.
+/// - Records that can't be read, or that speak of unknown jobs, are skipped.
+class job_table
+{
+public:
+    explicit job_table(job_table_hooks hooks);
+
+    /// Applies the record at `offset`.
+    void apply(std::uint64_t offset, const jobs::JobRecord& record);
+
+    /// Drops everything: records were lost before they were read.
+    void clear();
+
+    /// Accepted job; null if there is none.
+    const batch_job* find(std::string_view id) const;
+
+    /// Calls `visit` with each job, in the order in which they were accepted.
+    void for_each(const std::function<void(const batch_job&)>& visit) const;
+
+    /// Jobs that are kept.
+    std::size_t size() const
+    {
+        return jobs_.size();
+    }
+
+    /// Tokens of a route's items that wait.
+    std::uint64_t waiting_tokens(std::string_view route) const;
+
+    /// Process of an id; null if it is not known.
+    const batch_member* find_member(std::string_view id) const;
+
+    /// Calls `visit` with each process that is not gone.
+    void for_each_member(
+        const std::function<void(const batch_member&)>& visit) const;
+
+    /// Forgets a job whose results need not be kept any more. Only to be
+    /// called for jobs that no record will speak of.
+    void forget(const std::string& id);
+
+private:
+    /// Parts of a submission that is not accepted.
+    struct intake
+    {
+        std::vector<job_part> parts;
+        std::vector<job_item> items;
+    };
+
+    void apply_part(std::uint64_t offset, const jobs::JobPart& part);
+    void apply_commit(std::uint64_t offset, const jobs::JobCommit& commit);
+    commit_verdict judge(const jobs::JobCommit& commit) const;
+    void accept(std::uint64_t offset, const jobs::JobCommit& commit);
+    void apply_results(const jobs::ItemResults& results);
+    void apply_end(const jobs::JobEnd& end);
+    void apply_taken(const jobs::JobTaken& taken);
+    void apply_progress(const jobs::ItemProgress& progress);
+    void apply_started(const jobs::MemberStarted& started);
+    void apply_stopped(const jobs::MemberStopped& stopped);
+    void release_tokens(const batch_job& job, std::uint64_t tokens);
+    batch_job* find_mutable(std::string_view id);
+
+    job_table_hooks hooks_;
+    std::map<std::string, batch_job, std::less<>> jobs_;
+
+    /// Ids by the offset of acceptance.
+    std::map<std::uint64_t, std::string> accepted_;
+    std::map<std::string, intake, std::less<>> intakes_;
+    std::map<std::string, std::uint64_t, std::less<>> waiting_;
+    std::map<std::string, batch_member, std::less<>> members_;
+};
+
+} // namespace tanagertrack::state
+
+#endif
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -47,9 +47,7 @@
 {
     BOOST_ASSERT(!counted_ && !ended_);
     counted_ = true;
-    auto& load = where_->load;
-    ++(order_.work == routing::work_class::online ? load.own_online
-                                                  : load.own_batch);
+    where_->add_request(order_.work);
     started_at_ = common::clock::now();
     last_progress_ = started_at_;
     where_->connect(order_.max_rest,
@@ -107,6 +105,7 @@
     if (auto report = protocol_.read_load(head))
     {
         report->taken = last_progress_;
+        report->own = true;
         where_->load.reported = *report;
     }
     status_ = head.status;
@@ -195,11 +194,8 @@
 
 void attempt::leave_load()
 {
-    if (!std::exchange(counted_, false))
-        return;
-    auto& load = where_->load;
-    --(order_.work == routing::work_class::online ? load.own_online
-                                                  : load.own_batch);
+    if (std::exchange(counted_, false))
+        where_->end_request(order_.work);
 }
 
 } // namespace tanagertrack::targets
--- a/src/targets/target.cpp
+++ b/src/targets/target.cpp
@@ -1,5 +1,7 @@
 #include "targets/target.hpp"
 
+#include "common/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,8 +21,10 @@
 } // namespace
 
 target::target(boost::asio::io_context& context, std::string id,
-               fleet::target_announcement announced)
-    : context_(context), id_(std::move(id))
+               fleet::target_announcement announced,
+               const std::function<void()>& load_changed)
+    : context_(context), load_changed_(load_changed), id_(std::move(id)),
+      key_(static_cast<std::uint32_t>(common::hash64(id_)))
 {
     set_announced(std::move(announced));
 }
@@ -71,6 +75,18 @@
     resting_.push_back(connection);
 }
 
+void target::add_request(routing::work_class work)
+{
+    ++(work == routing::work_class::online ? load.own_online : load.own_batch);
+    load_changed_();
+}
+
+void target::end_request(routing::work_class work)
+{
+    --(work == routing::work_class::online ? load.own_online : load.own_batch);
+    load_changed_();
+}
+
 void target::depart()
 {
     in_use_ = false;
--- a/src/targets/target.hpp
+++ b/src/targets/target.hpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -32,9 +33,11 @@
                    target, boost::thread_unsafe_counter>
 {
 public:
-    /// `id` is the target's own name.
+    /// `id` is the target's own name. `load_changed` is called whenever a
+    /// request of this process starts or ends; it outlives the target.
     target(boost::asio::io_context& context, std::string id,
-           fleet::target_announcement announced);
+           fleet::target_announcement announced,
+           const std::function<void()>& load_changed);
 
     target(const target&) = delete;
     target& operator=(const target&) = delete;
@@ -44,6 +47,12 @@
         return id_;
     }
 
+    /// Short name of the target between entries: a hash of its id.
+    std::uint32_t key() const
+    {
+        return key_;
+    }
+
     const fleet::target_announcement& announced() const
     {
         return announced_;
@@ -82,12 +91,18 @@
         return connections_made_;
     }
 
-    /// Load of the target; the owner of requests keeps it.
+    /// Counts a request of this process that starts, or one that ends.
+    void add_request(routing::work_class work);
+    void end_request(routing::work_class work);
+
+    /// Load of the target.
     routing::target_load load;
 
 private:
     boost::asio::io_context& context_;
+    const std::function<void()>& load_changed_;
     std::string id_;
+    std::uint32_t key_;
     fleet::target_announcement announced_;
     bool in_use_ = true;
     std::uint64_t connections_made_ = 0;
--- a/src/targets/target_set.cpp
+++ b/src/targets/target_set.cpp
@@ -6,8 +6,10 @@
 namespace tanagertrack::targets
 {
 
-target_set::target_set(boost::asio::io_context& context, process_place place)
-    : context_(context), place_(std::move(place))
+target_set::target_set(boost::asio::io_context& context, process_place place,
+                       std::function<void()> load_changed)
+    : context_(context), place_(std::move(place)),
+      load_changed_(std::move(load_changed))
 {
 }
 
@@ -23,7 +25,7 @@
             return found->second->set_announced(value);
         remove(id);
     }
-    target_ptr it(new target(context_, id, value));
+    target_ptr it(new target(context_, id, value, load_changed_));
     it->load.far = distance_to(value.data_centre);
     by_id_[id] = it;
     by_service_[value.service].push_back(it);
--- a/src/targets/target_set.hpp
+++ b/src/targets/target_set.hpp
@@ -28,7 +28,10 @@
 class target_set
 {
 public:
-    target_set(boost::asio::io_context& context, process_place place);
+    /// `load_changed` is called whenever a request of this process starts or
+    /// ends on a target.
+    target_set(boost::asio::io_context& context, process_place place,
+               std::function<void()> load_changed);
 
     /// Adds a target, or takes a changed announcement of one. A target that
     /// started anew, or moved, is another one.
@@ -57,6 +60,7 @@
 
     boost::asio::io_context& context_;
     process_place place_;
+    std::function<void()> load_changed_;
     std::map<std::string, target_ptr, std::less<>> by_id_;
     std::map<std::string, std::vector<target_ptr>, std::less<>> by_service_;
 };
--- a/test/entry/entry_fixture.hpp
+++ b/test/entry/entry_fixture.hpp
@@ -113,8 +113,9 @@
         // Without news the answer waits a little, as the log does.
         if (out.empty())
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        it->respond({200, "application/octet-stream", 0, false},
-                    std::move(out));
+        http::answer_head head;
+        head.content_type = "application/octet-stream";
+        it->respond(std::move(head), std::move(out));
     }
 
     common::duty_thread thread_{"log", 64};
