--- a/src/batch/membership.cpp
+++ b/src/batch/membership.cpp
@@ -17,6 +17,10 @@
 /// Group of the entries in the store.
 constexpr auto group = "entries";
 
+/// How much later than this process another one must have had an answer of the
+/// store for this one to count as cut off.
+constexpr auto contact_lead = std::chrono::milliseconds(1500);
+
 /// Time without a list of members after which all are given time to appear in
 /// the next one: they could not renew their sessions either.
 constexpr auto list_gap = std::chrono::milliseconds(1500);
@@ -121,7 +125,9 @@
     // the store, nobody can take them.
     const bool silent = common::clock::now() - last_join_ >
                         settings_.session_timeout + settings_.join_interval;
-    const bool pause = silent && hooks_.others_reach_store();
+    const auto others = hooks_.last_store_contact();
+    const bool pause = silent && others &&
+                       *others > service_.last_contact() + contact_lead;
     if (silent)
         leader_ = false;
     if (std::exchange(paused_, pause) != pause)
@@ -164,7 +170,12 @@
     const auto seen = seen_.find(member);
     const bool listed =
         seen != seen_.end() && now - seen->second < settings_.absence;
-    return !listed && !hooks_.is_heard(member);
+
+    // The store may drop members by itself. One that it still answers can
+    // record what it runs.
+    const auto contact = hooks_.store_contact(member);
+    const bool works = contact && now - *contact < settings_.session_timeout;
+    return !listed && !works;
 }
 
 std::vector<std::string>
--- a/src/batch/membership.hpp
+++ b/src/batch/membership.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,12 +42,13 @@
 /// What a membership uses of the process.
 struct membership_hooks
 {
-    /// Whether a member was heard a moment ago and reaches the store: its
-    /// jobs are in good hands whatever the store's list says.
-    std::function<bool(const std::string& member)> is_heard;
+    /// When the store last answered a member, as it told; nothing for one that
+    /// is not heard.
+    std::function<std::optional<common::time_point>(const std::string& member)>
+        store_contact;
 
-    /// Whether another entry reaches the store.
-    std::function<bool()> others_reach_store;
+    /// When the store last answered any other member.
+    std::function<std::optional<common::time_point>()> last_store_contact;
 
     /// Sets whether batch items may run.
     std::function<void(bool paused)> set_paused;
--- a/src/batch/results.cpp
+++ b/src/batch/results.cpp
@@ -207,8 +207,9 @@
          [this, item, done = std::move(done)](std::error_code ec,
                                               const state::batch_job* known)
          {
-             const auto index = known == nullptr ? std::nullopt
-                                                 : known->find_item(item);
+             std::optional<std::uint32_t> index;
+             if (known != nullptr)
+                 index = known->find_item(item);
              if (!ec && !index)
                  ec = make_error_code(result_code::unknown_job);
              if (ec)
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -125,7 +125,8 @@
     message.set_sequence(++sequence_);
     const auto own = own_();
     message.set_waiting_items(own.waiting_items);
-    message.set_reaches_store(own.reaches_store);
+    message.set_store_age_ms(static_cast<std::uint32_t>(
+        duration_cast<milliseconds>(now - own.store_contact).count()));
     targets_.for_each(
         [&](targets::target& it)
         {
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -33,7 +33,9 @@
 struct own_state
 {
     std::uint32_t waiting_items = 0;
-    bool reaches_store = false;
+
+    /// When the store last answered.
+    common::time_point store_contact;
 };
 
 /// Tells the other entries what this one has under way on each target, and
--- a/src/peers/peer_loads.cpp
+++ b/src/peers/peer_loads.cpp
@@ -15,7 +15,7 @@
     it.sequence = message.sequence();
     it.heard = now;
     it.waiting_items = message.waiting_items();
-    it.reaches_store = message.reaches_store();
+    it.store_contact = now - std::chrono::milliseconds(message.store_age_ms());
     it.uses.clear();
     for (const auto& use : message.uses())
         it.uses[use.target()] = {use.online(), use.batch()};
@@ -77,16 +77,21 @@
         { return it.second.waiting_items != 0 && rank(target, it.first) < own; }));
 }
 
-bool peer_loads::reaches_store(std::string_view member) const
+std::optional<common::time_point>
+peer_loads::store_contact(std::string_view member) const
 {
     const auto it = members_.find(member);
-    return it != members_.end() && it->second.reaches_store;
+    if (it == members_.end())
+        return std::nullopt;
+    return it->second.store_contact;
 }
 
-bool peer_loads::any_reaches_store() const
+std::optional<common::time_point> peer_loads::last_store_contact() const
 {
-    return std::ranges::any_of(members_, [](const auto& it)
-                               { return it.second.reaches_store; });
+    std::optional<common::time_point> last;
+    for (const auto& [member, it] : members_)
+        last = std::max(last.value_or(it.store_contact), it.store_contact);
+    return last;
 }
 
 } // namespace tanagertrack::peers
--- a/src/peers/peer_loads.hpp
+++ b/src/peers/peer_loads.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -52,11 +53,13 @@
     std::uint32_t starters_before(std::uint32_t target,
                                   std::string_view self) const;
 
-    /// Whether an entry is heard and says that it reaches the store.
-    bool reaches_store(std::string_view member) const;
+    /// When the store last answered an entry; nothing for one that is not
+    /// heard.
+    std::optional<common::time_point>
+    store_contact(std::string_view member) const;
 
-    /// Whether any other entry reaches the store.
-    bool any_reaches_store() const;
+    /// When the store last answered any other entry.
+    std::optional<common::time_point> last_store_contact() const;
 
     /// Entries that are heard.
     std::size_t size() const
@@ -71,7 +74,7 @@
         common::time_point heard;
         std::map<std::uint32_t, target_use> uses;
         std::uint32_t waiting_items = 0;
-        bool reaches_store = false;
+        common::time_point store_contact;
     };
 
     static std::uint64_t rank(std::uint32_t target, std::string_view member);
--- a/src/store/store_service.hpp
+++ b/src/store/store_service.hpp
@@ -1,6 +1,8 @@
 #ifndef TANAGERTRACK_STORE_STORE_SERVICE_HPP
 #define TANAGERTRACK_STORE_STORE_SERVICE_HPP
 
+#include "common/clock.hpp"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -156,6 +158,9 @@
         leave;
     std::function<void(std::string group, std::function<void(owners_result)>)>
         owners;
+
+    /// When the store last answered anything.
+    std::function<common::time_point()> last_contact;
 };
 
 /// Limits that the store states.
