--- a/scripts/check-format.sh
+++ b/scripts/check-format.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.hpp' \
-    'src/*.cpp' 'test/*.hpp' 'test/*.cpp' 'bench/*.hpp' 'bench/*.cpp')
+    'src/*.cpp' 'test/*.hpp' 'test/*.cpp' 'bench/*.hpp' 'bench/*.cpp' 'platform/*.hpp' 'platform/*.cpp')
 if [ "${1:-}" = "--fix" ]; then
     clang-format -i "${files[@]}"
 else
--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -6,7 +6,7 @@
 if [ "$#" -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'test/*.cpp' 'bench/*.cpp')
+    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'test/*.cpp' 'bench/*.cpp' 'platform/*.cpp')
 fi
 printf '%s\n' "${files[@]}" |
     xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the whole path on this machine: stand-ins of the platform, two entries
-# and three agents as processes on loopback, an online request and a batch job.
+# Runs the whole path on this machine: stand-ins of the platform and two entries
+# as processes on loopback, an online request and a batch job.
 # With --keep, everything keeps running until Ctrl-C.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -71,8 +71,7 @@
     local offset
     for _ in $(seq 50); do
         base=$((20000 + RANDOM % 100 * 100))
-        for offset in 0 1 10 11 12 20 21 22 410 411 412 420 421 422 \
-            810 811 812; do
+        for offset in 0 10 11 12 13 20 21 22 23 410 420 810; do
             ! port_is_used $((base + offset)) || continue 2
         done
         return 0
@@ -97,12 +96,11 @@
     shift 2
     start "$name" build/tanagertrack-standin --listen "$ip:$port" "$@"
 }
-stand_in log "$base" --kind log
-stand_in hosts $((base + 1)) --kind hosts
-stand_in engine-1 $((base + 412)) --kind engine
-stand_in engine-2 $((base + 422)) --kind engine
-stand_in service-1 $((base + 812)) --kind service --name carico
-for file in "$work"/fleet/{agent,entry}-*.yaml; do
+stand_in store "$base" --kind store
+stand_in engine-1 $((base + 410)) --kind engine --id scribi-1
+stand_in engine-2 $((base + 420)) --kind engine --id scribi-2
+stand_in service-1 $((base + 810)) --kind service --name carico --id carico-1
+for file in "$work"/fleet/entry-*.yaml; do
     start "$(basename "$file" .yaml)" build/tanagertrackd "$file"
 done
 for address in "$entry1" "$entry2"; do
@@ -163,7 +161,7 @@
 Addresses:
   callers    http://$entry1  http://$entry2
   operators  http://$operator1  http://$operator2
-  metrics    http://$entry1/metrics  http://$ip:$((base + 411))/metrics (agent)
+  metrics    http://$entry1/metrics  http://$entry2/metrics
 END
 next="curl -N http://$entry1/v1/chat/completions -H 'Authorization: Bearer $key' -d '{\"model\":\"scribi\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Ciao\"}]}'"
 if [ "$keep" = yes ]; then
--- a/scripts/make-fleet.sh
+++ b/scripts/make-fleet.sh
@@ -4,10 +4,11 @@
 #   scripts/make-fleet.sh DEPLOYMENT FOLDER [BASE_PORT ENTRIES ENGINES SERVICES]
 #
 # DEPLOYMENT is retorno or fondazione. All addresses are on 127.0.0.1:
-#   BASE_PORT        log; +1 host list; +2 weight store
-#   +10*N            entry N: callers; +1 operators; +2 other processes
-#   +400+10*N        agent of engine N: entries; +1 health; +2 the engine
-#   +800+10*N        agent of service N: entries; +1 health; +2 the service
+#   BASE_PORT        the metadata store
+#   +10*N            entry N: callers; +1 operators; +2 other entries (UDP);
+#                    +3 entries that start
+#   +400+10*N        engine N
+#   +800+10*N        service N
 set -euo pipefail
 
 deployment=$1
@@ -62,9 +63,7 @@
     process entry "entry-$1" "$1"
     cat <<END
 platform:
-  log: $ip:$base
-  hosts: $ip:$((base + 1))
-  weights: $ip:$((base + 2))
+  store: $ip:$base
 front:
   port: $port
 operator:
@@ -72,32 +71,19 @@
   key: example-operator-key-$deployment
 peer:
   port: $((port + 2))
+  control: $ip:$((port + 3))
 END
     [ "$entries" -eq 1 ] || echo "  entries:"
     for ((n = 1; n <= entries; n++)); do
-        [ "$n" -eq "$1" ] || echo "    - $ip:$((base + 10 * n + 2))"
+        [ "$n" -eq "$1" ] || echo "    - $ip:$((base + 10 * n + 3))"
     done
 }
 
-agent() { # kind pool number port slots
-    process agent "agent-$2-$3" "$3"
-    cat <<END
-peer:
-  port: $4
-agent:
-  target: $2-$3
-  kind: $1
-  target_address: $ip:$(($4 + 2))
-  slots: $5
-  admin_port: $(($4 + 1))
-END
-}
-
 target() { # kind pool number port slots
     cat <<END
   - name: $2-$3
     address: $ip
-    agent_port: $4
+    port: $4
     data_centre: $(centre "$3")
     region: $region
     kind: $1
@@ -117,12 +103,9 @@
     done
 }
 
-write_agent() { agent "$@" >"$folder/agent-$2-$3.yaml"; }
-
 for ((n = 1; n <= entries; n++)); do
     entry "$n" >"$folder/entry-$n.yaml"
 done
-each_target write_agent
 
 {
     echo "# $title"
--- /dev/null
+++ b/src/api/batch_api.cpp
@@ -0,0 +1,245 @@
+#include "api/batch_api.hpp"
+
+#include "api/job_upload.hpp"
+#include "api/result_stream.hpp"
+#include "common/hash.hpp"
+#include "common/result_code.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagertrack::api
+{
+
+namespace json = boost::json;
+using common::result_code;
+
+namespace
+{
+
+constexpr std::string_view batches_path = "/v1/batches";
+constexpr std::uint64_t ms_per_s = 1000;
+
+/// Jobs in a list.
+constexpr std::size_t max_listed_jobs = 1000;
+
+/// What a request for jobs wants.
+struct batch_route
+{
+    enum class action
+    {
+        create,
+        list,
+        show,
+        results,
+        cancel
+    };
+
+    action wanted = action::list;
+    std::string job;
+};
+
+/// Finds out what a request wants; the code says why it is refused.
+result_code parse_route(const http::request_head& head, batch_route& out)
+{
+    auto path = head.path();
+    path.remove_prefix(std::min(batches_path.size(), path.size()));
+    const bool post = head.method == "POST";
+    const bool get = head.method == "GET";
+    const auto permitted = [](bool it)
+    {
+        return it ? result_code::ok : result_code::method_not_allowed;
+    };
+    if (path.empty() || path == "/")
+    {
+        out.wanted =
+            post ? batch_route::action::create : batch_route::action::list;
+        return permitted(post || get);
+    }
+    path.remove_prefix(1);
+    const auto slash = std::min(path.find('/'), path.size());
+    out.job = path.substr(0, slash);
+    const auto rest = path.substr(slash);
+    if (rest.empty())
+    {
+        out.wanted = batch_route::action::show;
+        return permitted(get);
+    }
+    if (rest == "/results")
+    {
+        out.wanted = batch_route::action::results;
+        return permitted(get);
+    }
+    if (rest == "/cancel")
+    {
+        out.wanted = batch_route::action::cancel;
+        return permitted(post);
+    }
+    return result_code::unknown_path;
+}
+
+std::string make_job_id(std::string_view team, std::string_view key)
+{
+    return "batch-" + common::to_hex(common::hash128({team, key}));
+}
+
+void refuse(const caller_request& request, result_code code)
+{
+    http::rejection why(code);
+    request.observer->first_answer(common::info(code).http_status);
+    request.http->refuse(why);
+}
+
+void respond(const caller_request& request, std::string body)
+{
+    request.observer->first_answer(http::answer_head().status);
+    request.http->respond({}, std::move(body));
+}
+
+} // namespace
+
+batch_api::batch_api(entry::entry_core& core) : core_(core)
+{
+}
+
+bool batch_api::is_batch_path(std::string_view path)
+{
+    return path == batches_path ||
+           path.starts_with(std::string(batches_path) + '/');
+}
+
+void batch_api::handle(const caller_request& request)
+{
+    batch_route route;
+    const auto code = parse_route(request.http->head(), route);
+    if (code != result_code::ok)
+        return refuse(request, code);
+    switch (route.wanted)
+    {
+    case batch_route::action::create:
+        return create(request);
+    case batch_route::action::list:
+        return list(request);
+    case batch_route::action::show:
+        return show(request, route.job);
+    case batch_route::action::results:
+        return stream_results(request, route.job);
+    case batch_route::action::cancel:
+        return cancel(request, route.job);
+    }
+}
+
+void batch_api::create(const caller_request& request)
+{
+    const auto given = request.http->head().idempotency_key();
+    const auto key = given.empty() ? common::random_id() : std::string(given);
+    auto job = make_job_id(request.team, key);
+    const boost::intrusive_ptr<job_upload> upload(new job_upload(
+        core_, request, job, [this, request, job] { show(request, job); }));
+    upload->start();
+}
+
+void batch_api::find(const caller_request& request, const std::string& job,
+                     std::function<void(const state::batch_job&)> found) const
+{
+    core_.results().find(
+        job,
+        [request, found = std::move(found)](std::error_code ec,
+                                            const state::batch_job* it)
+        {
+            if (ec)
+                return refuse(request, common::to_result_code(ec));
+
+            // A job of another team is not told apart from one that doesn't
+            // exist.
+            if (it == nullptr || it->team != request.team)
+                return refuse(request, result_code::unknown_job);
+            found(*it);
+        });
+}
+
+void batch_api::list(const caller_request& request) const
+{
+    std::string body = R"({"object":"list","data":[)";
+    std::size_t n = 0;
+    core_.jobs().table().for_each(
+        [&](const state::batch_job& job)
+        {
+            if (job.team != request.team || n >= max_listed_jobs)
+                return;
+            if (n++ != 0)
+                body += ',';
+            body += describe(job);
+        });
+    respond(request, body + "]}\n");
+}
+
+void batch_api::show(const caller_request& request,
+                     const std::string& job) const
+{
+    find(request, job,
+         [this, request](const state::batch_job& it)
+         { respond(request, describe(it) + '\n'); });
+}
+
+void batch_api::stream_results(const caller_request& request,
+                               const std::string& job)
+{
+    find(request, job,
+         [this, request](const state::batch_job& it)
+         {
+             const boost::intrusive_ptr<result_stream> stream(
+                 new result_stream(core_, request, it.id));
+             stream->start();
+         });
+}
+
+void batch_api::cancel(const caller_request& request, const std::string& job)
+{
+    find(request, job,
+         [this, request](const state::batch_job& it)
+         {
+             if (!it.is_open())
+                 return respond(request, describe(it) + '\n');
+             core_.results().end(
+                 it.id,
+                 [this, request, id = it.id](std::error_code ec)
+                 {
+                     if (ec)
+                         return refuse(request, common::to_result_code(ec));
+                     show(request, id);
+                 });
+         });
+}
+
+std::string batch_api::describe(const state::batch_job& job) const
+{
+    const auto count = [&job](proto::ItemState state)
+    {
+        return std::ranges::count(job.items, state, &state::job_item::state);
+    };
+    const auto open = count(proto::ITEM_OPEN);
+    const bool running = core_.items().running_items(job.id) > 0;
+    const auto* status = open == 0    ? "completed"
+                         : !job.ended ? "in_progress"
+                         : running    ? "cancelling"
+                                      : "cancelled";
+    const bool cancelled = job.ended && !running;
+    json::object it;
+    it["id"] = job.id;
+    it["object"] = "batch";
+    it["status"] = status;
+    it["request_counts"] = {{"total", job.items.size()},
+                            {"completed", count(proto::ITEM_DONE)},
+                            {"failed", count(proto::ITEM_DEAD)},
+                            {"unknown", count(proto::ITEM_UNKNOWN)},
+                            {"cancelled", cancelled ? open : 0}};
+    it["created_at"] = job.created_ms / ms_per_s;
+    it["expires_at"] = (job.created_ms + job.keep_ms) / ms_per_s;
+    return json::serialize(it);
+}
+
+} // namespace tanagertrack::api
--- /dev/null
+++ b/src/api/caller_api.cpp
@@ -0,0 +1,274 @@
+#include "api/caller_api.hpp"
+
+#include "api/fleet_mapping.hpp"
+#include "online/request.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <utility>
+
+namespace tanagertrack::api
+{
+
+using common::result_code;
+
+namespace
+{
+
+/// Teams whose rate is tracked at a time.
+constexpr std::size_t max_tracked_teams = 20000;
+
+constexpr std::string_view chat_path = "/v1/chat/completions";
+constexpr std::string_view completion_path = "/v1/completions";
+constexpr std::string_view models_path = "/v1/models";
+constexpr std::string_view services_prefix = "/v1/services/";
+
+std::string_view request_class(std::string_view path)
+{
+    if (batch_api::is_batch_path(path))
+        return "batch";
+    return path.starts_with(services_prefix) ? "service" : "online";
+}
+
+/// A request as it goes to a target.
+online::call make_call(entry::entry_core& core, const caller_request& request,
+                       const std::string& route, std::string target,
+                       std::string body)
+{
+    const auto& head = request.http->head();
+    online::call call;
+    call.id = head.request_id;
+    call.method = head.method;
+    call.target = std::move(target);
+    call.host = to_string(core.settings().platform.front);
+    if (!head.content_type().empty())
+        call.headers.add("Content-Type", head.content_type());
+    call.body = std::move(body);
+    call.configuration = core.configuration();
+    call.route = call.configuration->find_route_named(route);
+    call.received = common::clock::now();
+    call.deadline = call.received + core.settings().front.request_timeout;
+    if (call.route != nullptr)
+        call.repeats = call.route->repeats;
+    return call;
+}
+
+} // namespace
+
+caller_api::caller_api(entry::entry_core& core, std::function<bool()> is_ready)
+    : core_(core), is_ready_(std::move(is_ready)), batch_(core), calls_(core),
+      limits_(max_tracked_teams)
+{
+}
+
+void caller_api::set_fleet(std::shared_ptr<const proto::FleetConfig> fleet)
+{
+    index_ = std::make_shared<const fleet_index>(std::move(fleet));
+}
+
+void caller_api::drain()
+{
+    draining_ = true;
+}
+
+void caller_api::refuse(const http::http_exchange_ptr& http,
+                        const http::rejection& why)
+{
+    entry::count_rejection(core_.metrics(), why.code);
+    http->refuse(why);
+}
+
+void caller_api::refuse_input(const http::http_exchange_ptr& http,
+                              std::error_code ec, std::string message)
+{
+    http::rejection why(common::to_result_code(ec));
+    why.message = std::move(message);
+    refuse(http, why);
+}
+
+void caller_api::handle(const http::http_exchange_ptr& http)
+{
+    if (handle_open_path(http))
+        return;
+    if (draining_)
+        return refuse(http, http::rejection(result_code::shutting_down));
+    if (!index_)
+        return refuse(http, http::rejection(result_code::no_configuration));
+    const auto* team = admit(http);
+    if (team == nullptr)
+        return;
+    if (in_progress_ >= core_.settings().front.max_requests)
+        return refuse(http, http::rejection(result_code::overloaded));
+
+    const auto& head = http->head();
+    const auto path = head.path();
+    const caller_request request{
+        http, team->name(),
+        std::make_shared<entry::request_observer>(
+            core_.metrics(), in_progress_, request_class(path), team->name()),
+        index_};
+    if (batch_api::is_batch_path(path))
+        return batch_.handle(request);
+    if (path.starts_with(services_prefix))
+        return handle_service(request);
+    const bool chat = path == chat_path;
+    const bool models = path == models_path;
+    if (!chat && !models && path != completion_path)
+        return refuse(http, http::rejection(result_code::unknown_path));
+    if (head.method != (models ? "GET" : "POST"))
+        return refuse(http, http::rejection(result_code::method_not_allowed));
+    if (models)
+        return list_models(request);
+    handle_model(request,
+                 chat ? model_endpoint::chat : model_endpoint::completion);
+}
+
+bool caller_api::handle_open_path(const http::http_exchange_ptr& http)
+{
+    const auto& head = http->head();
+    const auto path = head.path();
+    if (path != "/healthz" && path != "/readyz" && path != "/metrics")
+        return false;
+    if (head.method != "GET" && head.method != "HEAD")
+    {
+        refuse(http, http::rejection(result_code::method_not_allowed));
+        return true;
+    }
+    if (path == "/readyz" && !is_ready_())
+        refuse(http,
+               http::rejection(draining_ ? result_code::shutting_down
+                                         : result_code::no_configuration));
+    else if (path == "/metrics")
+    {
+        http::answer_head answer;
+        answer.content_type = "text/plain; version=0.0.4";
+        http->respond(std::move(answer), core_.metrics().render());
+    }
+    else
+        http->respond({}, R"({"status":"ok"})");
+    return true;
+}
+
+const proto::TeamSpec* caller_api::admit(const http::http_exchange_ptr& http)
+{
+    const auto* team = index_->find_team(http->head().authorization());
+    if (team == nullptr)
+    {
+        refuse(http, http::rejection(result_code::invalid_team_key));
+        return nullptr;
+    }
+    const auto& defaults = core_.settings().routing;
+    routing::team_rate rate;
+    rate.requests_per_second = team->requests_per_second() > 0
+                                   ? team->requests_per_second()
+                                   : defaults.default_requests_per_second;
+    rate.burst = team->burst() > 0 ? team->burst() : defaults.default_burst;
+    const auto wait = limits_.take(team->name(), rate, common::clock::now());
+    if (wait <= common::duration())
+        return team;
+    http::rejection why(result_code::rate_limited);
+    why.retry_after = std::chrono::ceil<std::chrono::seconds>(wait);
+    refuse(http, why);
+    return nullptr;
+}
+
+void caller_api::list_models(const caller_request& request) const
+{
+    boost::json::array list;
+    for (const auto& it : request.fleet->config().models())
+        list.push_back({{"id", it.name()}, {"object", "model"}});
+    boost::json::object body;
+    body["object"] = "list";
+    body["data"] = std::move(list);
+    request.http->respond({}, boost::json::serialize(body));
+}
+
+// ---- models ----
+
+void caller_api::handle_model(const caller_request& request,
+                              model_endpoint endpoint)
+{
+    http::read_whole_body(
+        request.http, core_.settings().front.max_body_bytes,
+        [this, request, endpoint](std::error_code ec, std::string body)
+        {
+            model_request parsed;
+            std::string message;
+            if (!ec)
+                ec = parse_model_request(endpoint, body, parsed, message);
+            if (!ec && !request.fleet->has_model(parsed.model))
+                ec = result_code::unknown_model;
+            if (ec)
+                return refuse_input(request.http, ec, std::move(message));
+            run_model(request, std::move(body), parsed);
+        });
+}
+
+void caller_api::run_model(const caller_request& request, std::string body,
+                           const model_request& parsed)
+{
+    const auto use = !parsed.stream     ? route_use::answer
+                     : parsed.resumable ? route_use::stream
+                                        : route_use::plain_stream;
+    auto call =
+        make_call(core_, request, route_name(use, parsed.model),
+                  std::string(request.http->head().path()), std::move(body));
+    if (call.route == nullptr)
+        return refuse_input(request.http, result_code::unknown_model, {});
+    const online::request_ptr it(new online::request(
+        core_.online(), std::move(call),
+        entry::make_answer_hooks(request.http, request.observer)));
+    request.http->on_abandoned([it] { it->abandon(); });
+    it->start();
+}
+
+// ---- services ----
+
+void caller_api::handle_service(const caller_request& request)
+{
+    const auto& http = request.http;
+    const auto& head = http->head();
+    const auto target = parse_service_target(head.target);
+    const auto* rules =
+        target ? request.fleet->find_service(target->name) : nullptr;
+    if (rules == nullptr)
+        return refuse(http, http::rejection(result_code::unknown_service));
+    const auto repeatable = rules->is_repeatable(head.method, target->path);
+    if (!repeatable)
+        return refuse_input(http, result_code::invalid_request,
+                            "the path has more than one reading");
+    if (!*repeatable && head.idempotency_key().empty())
+        return refuse(http,
+                      http::rejection(result_code::idempotency_key_required));
+    http::read_whole_body(
+        http, core_.settings().front.max_body_bytes,
+        [this, request, target = *target,
+         repeatable = *repeatable](std::error_code ec, std::string body)
+        {
+            if (ec)
+                return refuse_input(request.http, ec, {});
+            run_service(request, target, std::move(body), repeatable);
+        });
+}
+
+void caller_api::run_service(const caller_request& request,
+                             const service_target& target, std::string body,
+                             bool repeatable)
+{
+    const auto use = repeatable ? route_use::answer : route_use::once;
+    auto call = make_call(core_, request, route_name(use, target.name),
+                          target.path, std::move(body));
+    if (call.route == nullptr)
+        return refuse_input(request.http, result_code::unknown_service, {});
+    if (!repeatable)
+        return calls_.run(request, target.name, std::move(call));
+    const online::request_ptr it(new online::request(
+        core_.online(), std::move(call),
+        entry::make_answer_hooks(request.http, request.observer)));
+    request.http->on_abandoned([it] { it->abandon(); });
+    it->start();
+}
+
+} // namespace tanagertrack::api
--- a/src/entry/fleet_index.cpp
+++ b/src/api/fleet_index.cpp
@@ -1,4 +1,4 @@
-#include "entry/fleet_index.hpp"
+#include "api/fleet_index.hpp"
 
 #include "common/hash.hpp"
 
@@ -6,7 +6,7 @@
 
 #include <utility>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 fleet_index::fleet_index(std::shared_ptr<const proto::FleetConfig> config)
@@ -49,4 +49,4 @@
     return it != services_.end() ? &it->second : nullptr;
 }
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
--- a/src/entry/fleet_index.hpp
+++ b/src/api/fleet_index.hpp
@@ -1,15 +1,15 @@
-#ifndef TANAGERTRACK_ENTRY_FLEET_INDEX_HPP
-#define TANAGERTRACK_ENTRY_FLEET_INDEX_HPP
+#ifndef TANAGERTRACK_API_FLEET_INDEX_HPP
+#define TANAGERTRACK_API_FLEET_INDEX_HPP
 
-#include "entry/service_rules.hpp"
-#include "proto/records.pb.h"
+#include "api/service_rules.hpp"
+#include "proto/tickets.pb.h"
 
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 /// Look-up tables of one version of the fleet configuration, for requests.
@@ -45,6 +45,6 @@
 /// Key of an Authorization header with the scheme Bearer; empty if none.
 std::string_view bearer_key(std::string_view authorization);
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
 
 #endif
--- a/src/entry/item_parser.cpp
+++ b/src/api/item_parser.cpp
@@ -1,5 +1,7 @@
-#include "entry/item_parser.hpp"
+#include "api/item_parser.hpp"
 
+#include "api/completion_json.hpp"
+#include "api/service_rules.hpp"
 #include "common/hash.hpp"
 #include "common/result_code.hpp"
 #include "common/utf8.hpp"
@@ -8,7 +10,7 @@
 
 #include <algorithm>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 using common::result_code;
@@ -48,7 +50,7 @@
     return false;
 }
 
-bool item_parser::parse(std::string_view line, proto::Item& out,
+bool item_parser::parse(std::string_view line, proto::JobItem& out,
                         line_error& error)
 {
     ++line_;
@@ -82,19 +84,21 @@
         return fail(error, result_code::invalid_request,
                     "body: expected an object");
 
+    const auto text = json::serialize(*body);
     const auto target = view(*url);
     if (target == "/v1/chat/completions" || target == "/v1/completions")
     {
-        out.set_method(target == "/v1/completions"
-                           ? proto::ITEM_METHOD_COMPLETION
-                           : proto::ITEM_METHOD_CHAT);
         const auto* model = find_text(body->get_object(), "model");
         if (model == nullptr)
             return fail(error, result_code::invalid_request,
                         "body.model: expected a text");
         if (!fleet_->has_model(view(*model)))
             return fail(error, result_code::unknown_model, {});
-        out.set_model(model->data(), model->size());
+        out.set_service(model->data(), model->size());
+        out.set_path(std::string(target));
+        auto streamed = as_streamed(text);
+        out.set_whole_answer(!streamed);
+        out.set_body(streamed ? std::move(*streamed) : text);
     }
     else
     {
@@ -108,20 +112,23 @@
         if (!repeatable)
             return fail(error, result_code::invalid_request,
                         "url: the path is ambiguous");
-        out.set_method(proto::ITEM_METHOD_SERVICE);
-        out.set_model(service->name);
+        out.set_service(service->name);
         out.set_path(service->path);
+        out.set_whole_answer(true);
         out.set_not_repeatable(!*repeatable);
+        out.set_body(text);
     }
 
     if (ids_.size() >= max_items_)
         return fail(error, result_code::too_many_items, {});
     if (!ids_.insert(common::hash64(view(*id))).second)
         return fail(error, result_code::duplicate_custom_id, {});
-    out.set_custom_id(id->data(), id->size());
-    const auto text = json::serialize(*body);
-    out.set_body(text.data(), text.size());
+    out.set_id(id->data(), id->size());
+    out.set_method("POST");
+    auto& type = *out.add_headers();
+    type.set_name("Content-Type");
+    type.set_value("application/json");
     return true;
 }
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
--- a/src/entry/item_parser.hpp
+++ b/src/api/item_parser.hpp
@@ -1,8 +1,8 @@
-#ifndef TANAGERTRACK_ENTRY_ITEM_PARSER_HPP
-#define TANAGERTRACK_ENTRY_ITEM_PARSER_HPP
+#ifndef TANAGERTRACK_API_ITEM_PARSER_HPP
+#define TANAGERTRACK_API_ITEM_PARSER_HPP
 
-#include "entry/fleet_index.hpp"
-#include "proto/records.pb.h"
+#include "api/fleet_index.hpp"
+#include "proto/jobs.pb.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -12,7 +12,7 @@
 #include <system_error>
 #include <unordered_set>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 /// Why a line of a job is not accepted.
@@ -34,7 +34,7 @@
 
     /// Parses one line, without its end. Returns whether `out` is an item:
     /// false without an error for an empty line.
-    bool parse(std::string_view line, proto::Item& out, line_error& error);
+    bool parse(std::string_view line, proto::JobItem& out, line_error& error);
 
     /// Items so far.
     std::size_t items() const
@@ -60,6 +60,6 @@
     std::unordered_set<std::uint64_t> ids_;
 };
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
 
 #endif
--- a/src/entry/model_request.cpp
+++ b/src/api/model_request.cpp
@@ -1,11 +1,11 @@
-#include "entry/model_request.hpp"
+#include "api/model_request.hpp"
 
 #include "common/result_code.hpp"
 #include "common/utf8.hpp"
 
 #include <boost/json/parse.hpp>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 namespace json = boost::json;
@@ -85,4 +85,4 @@
     return message.empty() ? result_code::ok : result_code::invalid_request;
 }
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
--- a/src/entry/model_request.hpp
+++ b/src/api/model_request.hpp
@@ -1,11 +1,11 @@
-#ifndef TANAGERTRACK_ENTRY_MODEL_REQUEST_HPP
-#define TANAGERTRACK_ENTRY_MODEL_REQUEST_HPP
+#ifndef TANAGERTRACK_API_MODEL_REQUEST_HPP
+#define TANAGERTRACK_API_MODEL_REQUEST_HPP
 
 #include <string>
 #include <string_view>
 #include <system_error>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 /// The endpoints of models.
@@ -31,6 +31,6 @@
                                     std::string_view body, model_request& out,
                                     std::string& message);
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
 
 #endif
--- /dev/null
+++ b/src/api/operator_api.hpp
@@ -0,0 +1,53 @@
+#ifndef TANAGERTRACK_API_OPERATOR_API_HPP
+#define TANAGERTRACK_API_OPERATOR_API_HPP
+
+#include "api/ticket_log.hpp"
+#include "common/clock.hpp"
+#include "entry/entry_core.hpp"
+#include "http/http_exchange.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace tanagertrack::api
+{
+
+/// Serves operators: tickets, targets and the state of the process. One
+/// thread.
+class operator_api
+{
+public:
+    /// All arguments outlive the object.
+    operator_api(entry::entry_core& core, ticket_log& tickets,
+                 std::function<bool()> is_ready,
+                 std::function<std::size_t()> in_progress);
+
+    /// Takes a request on the operators' listener.
+    void handle(const http::http_exchange_ptr& http);
+
+private:
+    void refuse(const http::http_exchange_ptr& http,
+                const http::rejection& why) const;
+    bool is_permitted(const http::http_exchange_ptr& http) const;
+    void submit_ticket(const http::http_exchange_ptr& http);
+    void answer_ticket(const http::http_exchange_ptr& http,
+                       const ticket_outcome& outcome) const;
+    void show_ticket(const http::http_exchange_ptr& http,
+                     std::string_view number);
+    void show_job(const http::http_exchange_ptr& http,
+                  const std::string& job) const;
+    void show_targets(const http::http_exchange_ptr& http) const;
+    void show_status(const http::http_exchange_ptr& http) const;
+
+    entry::entry_core& core_;
+    ticket_log& tickets_;
+    std::function<bool()> is_ready_;
+    std::function<std::size_t()> in_progress_;
+    common::time_point started_ = common::clock::now();
+};
+
+} // namespace tanagertrack::api
+
+#endif
--- a/src/entry/service_rules.cpp
+++ b/src/api/service_rules.cpp
@@ -1,9 +1,9 @@
-#include "entry/service_rules.hpp"
+#include "api/service_rules.hpp"
 
 #include <algorithm>
 #include <charconv>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 namespace
@@ -96,4 +96,4 @@
         { return it.method == method && plain->starts_with(it.prefix); });
 }
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
--- a/src/entry/service_rules.hpp
+++ b/src/api/service_rules.hpp
@@ -1,14 +1,14 @@
-#ifndef TANAGERTRACK_ENTRY_SERVICE_RULES_HPP
-#define TANAGERTRACK_ENTRY_SERVICE_RULES_HPP
+#ifndef TANAGERTRACK_API_SERVICE_RULES_HPP
+#define TANAGERTRACK_API_SERVICE_RULES_HPP
 
-#include "proto/records.pb.h"
+#include "proto/tickets.pb.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace tanagertrack::entry
+namespace tanagertrack::api
 {
 
 /// A call to a plain service, from the target of a caller's request
@@ -47,6 +47,6 @@
     std::vector<rule> rules_;
 };
 
-} // namespace tanagertrack::entry
+} // namespace tanagertrack::api
 
 #endif
--- a/src/batch/environment.hpp
+++ b/src/batch/environment.hpp
@@ -25,8 +25,13 @@
     /// Places of each target that batch work leaves free.
     std::uint32_t reserve = 0;
 
-    /// Time without an event after which an item goes on elsewhere.
-    std::chrono::milliseconds patience{1500};
+    /// Time without an event after which an item goes on elsewhere, and time
+    /// without a byte of a whole answer.
+    std::chrono::milliseconds event_patience{1500};
+    std::chrono::milliseconds answer_patience{120000};
+
+    /// Failures after which an item is given up whose route states none.
+    std::uint32_t max_failures = 3;
 
     /// Time between looks for items to start and for silent targets.
     std::chrono::milliseconds tick{50};
@@ -47,6 +52,19 @@
     std::chrono::milliseconds default_due{std::chrono::hours(24)};
 };
 
+/// What a target's answer to an item means, if it is not a success.
+enum class failure_kind : std::uint8_t
+{
+    /// The item can never be done.
+    permanent,
+
+    /// Counts: after some of these the item is given up.
+    counted,
+
+    /// Says nothing of the item.
+    transient
+};
+
 /// What runs batch items. One thread.
 struct environment
 {
@@ -59,6 +77,9 @@
     /// Configuration in effect; null before the first.
     std::function<fleet::configuration_ptr()> configuration;
 
+    /// Meaning of a status other than 2xx.
+    std::function<failure_kind(unsigned)> judge_failure;
+
     /// Items on a target that other entries take back before this one does.
     std::function<std::uint32_t(const targets::target&)> yields_before;
 
--- a/src/batch/intake.cpp
+++ b/src/batch/intake.cpp
@@ -10,6 +10,7 @@
 namespace tanagertrack::batch
 {
 
+using common::execution;
 using common::result_code;
 using state::commit_verdict;
 using std::chrono::milliseconds;
@@ -32,9 +33,16 @@
 constexpr auto store_retry = milliseconds(400);
 
 /// Bytes of a part's record, below the largest record of the store.
-constexpr std::size_t part_bytes = 128UL * 1024;
+constexpr std::size_t max_part_bytes = 128UL * 1024;
 
-http::rejection reject(result_code code, common::execution ran,
+/// Bytes of records that are collected for one append.
+constexpr std::size_t max_append_bytes = 1024UL * 1024;
+
+/// Bytes of items that are kept for the runner; those of larger jobs are read
+/// from the log as they are needed.
+constexpr std::size_t max_kept_bytes = 256UL * 1024;
+
+http::rejection reject(result_code code, execution ran,
                        milliseconds retry_after)
 {
     http::rejection why(code);
@@ -45,232 +53,257 @@
 
 } // namespace
 
-/// A submission on its way into the log.
-struct intake::pending
+submission::submission(intake& owner, boost::asio::io_context& context,
+                       job_terms terms, handler done)
+    : owner_(owner), terms_(std::move(terms)), done_(std::move(done)),
+      timer_(context), nonce_(common::random_id())
+{
+}
+
+void submission::add(proto::JobItem item)
+{
+    if (ended() || committed_)
+        return;
+    ++items_;
+    tokens_ += item.tokens();
+    if (known_)
+        return;
+    const auto bytes = item.ByteSizeLong();
+    if (part_bytes_ != 0 && part_bytes_ + bytes > max_part_bytes)
+        close_part();
+    auto& part = *part_.mutable_part();
+    if (part_bytes_ == 0)
+    {
+        part.set_job(terms_.job);
+        part.set_intake(nonce_);
+        part.set_first_item(items_ - 1);
+    }
+    part_bytes_ += bytes;
+    kept_bytes_ += bytes;
+    if (kept_bytes_ <= max_kept_bytes)
+        kept_.push_back(item);
+    else
+        kept_.clear();
+    *part.add_items() = std::move(item);
+}
+
+void submission::close_part()
+{
+    if (part_bytes_ == 0)
+        return;
+    if (record_bytes_ + part_bytes_ > max_append_bytes)
+        flush();
+    record_bytes_ += std::exchange(part_bytes_, 0);
+    records_.push_back(std::exchange(part_, {}));
+}
+
+void submission::flush()
+{
+    if (records_.empty() || ended())
+        return;
+    const auto bytes = std::exchange(record_bytes_, 0);
+    unsent_bytes_ += bytes;
+    const auto ticket = owner_.jobs_.append(
+        std::exchange(records_, {}), false,
+        [self = submission_ptr(this), bytes](std::error_code ec, std::uint64_t)
+        { self->take_append(bytes, ec); });
+    if (committed_)
+        commit_ticket_ = ticket;
+}
+
+void submission::commit(std::string content_hash)
+{
+    if (ended() || committed_)
+        return;
+    committed_ = true;
+    if (known_)
+    {
+        const auto* job = owner_.jobs_.table().find(terms_.job);
+        const bool same = job != nullptr && job->content_hash == content_hash;
+        if (same)
+            return end(std::nullopt);
+        return end(reject(result_code::idempotency_conflict, execution::not_run,
+                          milliseconds(0)));
+    }
+    if (owner_.is_over_limit(*this))
+        return end(reject(result_code::jobs_full, execution::not_run,
+                          over_limit_retry));
+    close_part();
+    records_.push_back(make_commit(std::move(content_hash)));
+    flush();
+}
+
+proto::JobRecord submission::make_commit(std::string content_hash) const
+{
+    proto::JobRecord record;
+    auto& commit = *record.mutable_commit();
+    commit.set_job(terms_.job);
+    commit.set_intake(nonce_);
+    commit.set_route(terms_.route);
+    commit.set_host(terms_.host);
+    commit.set_team(terms_.team);
+    commit.set_member(owner_.jobs_.member());
+    commit.set_item_count(items_);
+    commit.set_created_ms(common::unix_time_ms());
+    commit.set_max_waiting_tokens(terms_.max_waiting_tokens);
+    commit.set_due_after_ms(
+        static_cast<std::uint32_t>(terms_.due_after.count()));
+    commit.set_keep_ms(static_cast<std::uint64_t>(terms_.keep.count()));
+    commit.set_content_hash(std::move(content_hash));
+    return record;
+}
+
+void submission::take_append(std::size_t bytes, std::error_code ec)
 {
-    explicit pending(boost::asio::io_context& context) : timer(context)
+    unsent_bytes_ -= bytes;
+    if (ended())
+        return;
+    if (ec)
     {
+        // Without one of its appends the commit has no effect.
+        common::log_info("job_refused", {{"job", terms_.job},
+                                         {"why", "append_refused"},
+                                         {"what", ec.message()}});
+        return end(reject(result_code::log_unavailable, execution::not_run,
+                          store_retry));
     }
+    if (progress_)
+        progress_();
+    if (committed_ && unsent_bytes_ == 0)
+        owner_.jobs_.confirm(milliseconds(0), [](std::error_code) {});
+}
 
-    submission job;
+void submission::time_out()
+{
+    // Without its commit, which is in the last append, nothing runs.
+    const bool never = !committed_ || (commit_ticket_ &&
+                                       owner_.jobs_.withdraw(*commit_ticket_));
+    common::log_info(
+        "job_refused",
+        {{"job", terms_.job}, {"why", "deadline"}, {"not_run", never ? 1 : 0}});
+    if (never)
+        return end(reject(result_code::log_unavailable, execution::not_run,
+                          store_retry));
+    end(reject(result_code::deadline_exceeded, execution::may_have_run,
+               milliseconds(0)));
+}
 
-    /// Nonce of the submission.
-    std::string nonce;
-    handler done;
-    boost::asio::steady_timer timer;
+void submission::cancel()
+{
+    if (ended())
+        return;
+    done_ = [](const submission_verdict&) {
+    };
+    end(std::nullopt);
+}
 
-    /// Appends not acknowledged yet, and the one with the commit.
-    std::size_t appends_left = 0;
-    store::write_ticket last_ticket = 0;
-};
+void submission::end(const submission_verdict& verdict)
+{
+    const submission_ptr self(this);
+    timer_.cancel();
+    owner_.waiting_.erase(nonce_);
+    progress_ = nullptr;
+    const auto done = std::exchange(done_, nullptr);
+    done(verdict);
+}
 
 intake::intake(boost::asio::io_context& context, job_log& jobs)
     : context_(context), jobs_(jobs)
 {
     job_listener listener;
-    listener.changes.on_commit = [this](const jobs::JobCommit& commit,
-                                        commit_verdict verdict)
+    listener.changes.on_commit =
+        [this](const proto::JobCommit& commit, commit_verdict verdict)
     {
         take_commit(commit, verdict);
     };
     jobs_.add_listener(std::move(listener));
 }
 
-intake::~intake() = default;
-
-void intake::submit(submission job, handler done)
+submission_ptr intake::open(job_terms terms, submission::handler done)
 {
-    if (jobs_.table().find(job.job) != nullptr)
+    const submission_ptr it(
+        new submission(*this, context_, std::move(terms), std::move(done)));
+    const auto& job = it->terms_.job;
+    if (jobs_.table().find(job) != nullptr)
     {
-        common::log_info("job_repeated", {{"job", job.job}});
-        return done(std::nullopt);
+        common::log_info("job_repeated", {{"job", job}});
+        it->known_ = true;
+        if (!it->terms_.compares_content)
+            it->end(std::nullopt);
+        return it;
     }
     if (!jobs_.is_current() || !jobs_.reachable())
     {
-        common::log_info("job_refused", {{"job", job.job},
-                                         {"why", "store_unavailable"},
-                                         {"current", jobs_.is_current()}});
-        return done(reject(result_code::log_unavailable,
-                           common::execution::not_run, store_retry));
+        common::log_info("job_refused",
+                         {{"job", job},
+                          {"why", "store_unavailable"},
+                          {"current", jobs_.is_current() ? 1 : 0}});
+        it->end(reject(result_code::log_unavailable, execution::not_run,
+                       store_retry));
+        return it;
     }
+    waiting_[it->nonce_] = it;
+    it->timer_.expires_at(it->terms_.deadline - answer_margin);
+    it->timer_.async_wait(
+        [it](const auto& ec)
+        {
+            if (!ec && !it->ended())
+                it->time_out();
+        });
+    return it;
+}
 
+bool intake::is_over_limit(const submission& it) const
+{
     // With a fresh view the verdict of the log is known beforehand.
-    std::uint64_t tokens = 0;
-    for (const auto& it : job.items)
-        tokens += it.tokens();
-    const auto limit = job.route->max_waiting_tokens;
-    const auto waiting = jobs_.table().waiting_tokens(job.route->name);
+    const auto limit = it.terms_.max_waiting_tokens;
+    const auto waiting = jobs_.table().waiting_tokens(it.terms_.route);
     const auto as_of = jobs_.current_as_of();
     const bool fresh = as_of && common::clock::now() - *as_of < limit_view_age;
-    if (limit != 0 && fresh && waiting + tokens > limit)
-    {
-        common::log_info("job_refused", {{"job", job.job},
+    const bool over = limit != 0 && fresh && waiting + it.tokens_ > limit;
+    if (over)
+        common::log_info("job_refused", {{"job", it.terms_.job},
                                          {"why", "over_limit"},
                                          {"waiting_tokens", waiting},
-                                         {"tokens", tokens},
+                                         {"tokens", it.tokens_},
                                          {"limit", limit}});
-        return done(reject(result_code::jobs_full, common::execution::not_run,
-                           over_limit_retry));
-    }
-
-    const auto it = std::make_shared<pending>(context_);
-    it->job = std::move(job);
-    it->nonce = common::random_id();
-    it->done = std::move(done);
-    it->timer.expires_at(it->job.deadline - answer_margin);
-    it->timer.async_wait(
-        [this, it](const auto& ec)
-        {
-            if (!ec)
-                time_out(it);
-        });
-    pending_[it->nonce] = it;
-    append(it);
-}
-
-std::vector<std::vector<jobs::JobRecord>>
-intake::make_appends(const pending& it) const
-{
-    const auto& job = it.job;
-    std::vector<std::vector<jobs::JobRecord>> appends(1);
-    std::size_t append_bytes = 0;
-    jobs::JobRecord record;
-    std::size_t record_bytes = 0;
-    const auto close_record = [&]
-    {
-        if (record_bytes == 0)
-            return;
-        constexpr std::size_t max_append_bytes = 1024UL * 1024;
-        if (append_bytes + record_bytes > max_append_bytes)
-        {
-            appends.emplace_back();
-            append_bytes = 0;
-        }
-        append_bytes += record_bytes;
-        appends.back().push_back(std::exchange(record, {}));
-        record_bytes = 0;
-    };
-    std::uint32_t index = 0;
-    for (const auto& item : job.items)
-    {
-        const auto bytes = item.ByteSizeLong();
-        if (record_bytes + bytes > part_bytes)
-            close_record();
-        auto& part = *record.mutable_part();
-        if (record_bytes == 0)
-        {
-            part.set_job(job.job);
-            part.set_intake(it.nonce);
-            part.set_first_item(index);
-        }
-        *part.add_items() = item;
-        record_bytes += bytes;
-        ++index;
-    }
-    close_record();
-
-    jobs::JobRecord last;
-    auto& commit = *last.mutable_commit();
-    commit.set_job(job.job);
-    commit.set_intake(it.nonce);
-    commit.set_route(job.route->name);
-    commit.set_host(job.route->host);
-    commit.set_member(jobs_.member());
-    commit.set_item_count(index);
-    commit.set_created_ms(common::unix_time_ms());
-    commit.set_max_waiting_tokens(job.route->max_waiting_tokens);
-    commit.set_due_after_ms(
-        static_cast<std::uint32_t>(job.route->due_after.count()));
-    appends.back().push_back(std::move(last));
-    return appends;
-}
-
-void intake::append(const pending_ptr& it)
-{
-    const auto appends = make_appends(*it);
-    it->appends_left = appends.size();
-    for (const auto& records : appends)
-    {
-        it->last_ticket =
-            jobs_.append(records, false,
-                         [this, it](std::error_code ec, std::uint64_t)
-                         { take_append(it, ec); });
-    }
-}
-
-void intake::take_append(const pending_ptr& it, std::error_code ec)
-{
-    --it->appends_left;
-    if (!pending_.contains(it->nonce))
-        return;
-    if (ec)
-    {
-        // Without one of its appends the commit has no effect.
-        common::log_info("job_refused", {{"job", it->job.job},
-                                         {"why", "append_refused"},
-                                         {"what", ec.message()}});
-        return end(it, reject(result_code::log_unavailable,
-                              common::execution::not_run, store_retry));
-    }
-    if (it->appends_left == 0)
-        jobs_.confirm(milliseconds(0), [](std::error_code) {});
+    return over;
 }
 
-void intake::take_commit(const jobs::JobCommit& commit, commit_verdict verdict)
+void intake::take_commit(const proto::JobCommit& commit, commit_verdict verdict)
 {
-    const auto found = pending_.find(commit.intake());
     if (verdict == commit_verdict::accepted)
         common::log_info("job_accepted", {{"job", commit.job()},
                                           {"runner", commit.member()},
                                           {"items", commit.item_count()}});
-    if (found == pending_.end())
+    const auto found = waiting_.find(commit.intake());
+    if (found == waiting_.end())
         return;
     const auto it = found->second;
     switch (verdict)
     {
     case commit_verdict::accepted:
-        accepted_[commit.job()] = std::move(it->job.items);
-        return end(it, std::nullopt);
+        if (!it->kept_.empty())
+            accepted_[commit.job()] = std::move(it->kept_);
+        return it->end(std::nullopt);
     case commit_verdict::repeated:
-        return end(it, std::nullopt);
+        return it->end(std::nullopt);
+    case commit_verdict::conflict:
+        return it->end(reject(result_code::idempotency_conflict,
+                              execution::not_run, milliseconds(0)));
     case commit_verdict::over_limit:
-        common::log_info("job_refused",
-                         {{"job", commit.job()}, {"why", "over_limit_at_commit"}});
-        return end(it, reject(result_code::jobs_full,
-                              common::execution::not_run, over_limit_retry));
+        common::log_info("job_refused", {{"job", commit.job()},
+                                         {"why", "over_limit_at_commit"}});
+        return it->end(reject(result_code::jobs_full, execution::not_run,
+                              over_limit_retry));
     case commit_verdict::incomplete:
         common::log_warning("job_incomplete", {{"job", commit.job()}});
-        return end(it, reject(result_code::log_unavailable,
-                              common::execution::not_run, store_retry));
+        return it->end(reject(result_code::log_unavailable, execution::not_run,
+                              store_retry));
     }
 }
 
-void intake::time_out(const pending_ptr& it)
-{
-    if (!pending_.contains(it->nonce))
-        return;
-
-    // Without its commit, which is in the last append, nothing runs.
-    const bool withdrawn = jobs_.withdraw(it->last_ticket);
-    common::log_info("job_refused", {{"job", it->job.job},
-                                     {"why", "deadline"},
-                                     {"withdrawn", withdrawn}});
-    if (withdrawn)
-        return end(it, reject(result_code::log_unavailable,
-                              common::execution::not_run, store_retry));
-    end(it, reject(result_code::deadline_exceeded,
-                   common::execution::may_have_run, milliseconds(0)));
-}
-
-void intake::end(const pending_ptr& it, const submission_verdict& verdict)
-{
-    pending_.erase(it->nonce);
-    it->timer.cancel();
-    auto done = std::exchange(it->done, nullptr);
-    done(verdict);
-}
-
-std::vector<jobs::JobItem> intake::take_items(const std::string& job)
+std::vector<proto::JobItem> intake::take_items(const std::string& job)
 {
     const auto it = accepted_.find(job);
     if (it == accepted_.end())
--- a/src/batch/intake.hpp
+++ b/src/batch/intake.hpp
@@ -2,16 +2,19 @@
 #define TANAGERTRACK_BATCH_INTAKE_HPP
 
 #include "batch/job_log.hpp"
-#include "batch/submission.hpp"
+#include "common/clock.hpp"
 #include "http/error_answer.hpp"
+#include "proto/jobs.pb.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,49 +22,152 @@
 namespace tanagertrack::batch
 {
 
+class intake;
+
+/// What a caller asks for with a job.
+struct job_terms
+{
+    /// Chosen by the caller, or derived from its key; a resend has the same.
+    std::string job;
+
+    /// Name of the route and host name; empty where items name services.
+    std::string route;
+    std::string host;
+    std::string team;
+
+    /// Tokens of the route's items that may wait; 0: no limit.
+    std::uint64_t max_waiting_tokens = 0;
+    std::chrono::milliseconds due_after{0};
+
+    /// Time for which results stay readable.
+    std::chrono::milliseconds keep{0};
+
+    /// Until when the caller waits for the answer.
+    common::time_point deadline;
+
+    /// Whether a resend with other items is refused.
+    bool compares_content = false;
+};
+
 /// Outcome of a submission: accepted, or why not.
 using submission_verdict = std::optional<http::rejection>;
 
+/// One submission of a job, whose items come one after the other. One thread.
+class submission
+    : public boost::intrusive_ref_counter<submission,
+                                          boost::thread_unsafe_counter>
+{
+public:
+    using handler = std::function<void(const submission_verdict&)>;
+
+    submission(const submission&) = delete;
+    submission& operator=(const submission&) = delete;
+
+    /// Adds an item. It fits into a record of the store.
+    void add(proto::JobItem item);
+
+    /// Asks for the job to be accepted. `content_hash` is that of the items.
+    void commit(std::string content_hash = {});
+
+    /// The caller is gone: nothing is accepted that was not committed.
+    void cancel();
+
+    /// Whether the outcome was told.
+    bool ended() const
+    {
+        return !done_;
+    }
+
+    /// Bytes that wait for the store; a reader of a large body stops above
+    /// some bound.
+    std::size_t unsent_bytes() const
+    {
+        return unsent_bytes_;
+    }
+
+    /// Sets a hook that is called whenever the store took some bytes.
+    void on_progress(std::function<void()> hook)
+    {
+        progress_ = std::move(hook);
+    }
+
+private:
+    friend class intake;
+
+    submission(intake& owner, boost::asio::io_context& context, job_terms terms,
+               handler done);
+
+    void close_part();
+    void flush();
+    proto::JobRecord make_commit(std::string content_hash) const;
+    void take_append(std::size_t bytes, std::error_code ec);
+    void time_out();
+    void end(const submission_verdict& verdict);
+
+    intake& owner_;
+    job_terms terms_;
+    handler done_;
+    std::function<void()> progress_;
+    boost::asio::steady_timer timer_;
+
+    /// Nonce of the submission.
+    std::string nonce_;
+
+    /// The job was accepted before: items are only counted.
+    bool known_ = false;
+    bool committed_ = false;
+    std::uint32_t items_ = 0;
+    std::uint64_t tokens_ = 0;
+
+    // Part that is being filled, and records that wait to be appended.
+    proto::JobRecord part_;
+    std::size_t part_bytes_ = 0;
+    std::vector<proto::JobRecord> records_;
+    std::size_t record_bytes_ = 0;
+    std::size_t unsent_bytes_ = 0;
+    std::optional<store::write_ticket> commit_ticket_;
+
+    /// Items, while they are few, for the runner of the job.
+    std::vector<proto::JobItem> kept_;
+    std::size_t kept_bytes_ = 0;
+};
+
+using submission_ptr = boost::intrusive_ptr<submission>;
+
 /// Makes submitted jobs accepted: appends them, and reads back what became of
 /// them. A rejection says "not run" only where nothing of the job will ever be
 /// accepted from this submission. One thread.
 class intake
 {
 public:
-    using handler = std::function<void(const submission_verdict&)>;
-
     intake(boost::asio::io_context& context, job_log& jobs);
-    ~intake();
 
     intake(const intake&) = delete;
     intake& operator=(const intake&) = delete;
 
-    /// Takes a job. `done` is called once.
-    void submit(submission job, handler done);
+    /// Starts a submission. `done` is called once, unless it is cancelled;
+    /// it may be called before this returns.
+    submission_ptr open(job_terms terms, submission::handler done);
 
-    /// Items of jobs that were accepted here and are not taken yet, by job;
-    /// the caller becomes their owner. Empty for other jobs.
-    std::vector<jobs::JobItem> take_items(const std::string& job);
+    /// Items of a job that was accepted here and is small; the caller becomes
+    /// their owner. Empty for other jobs.
+    std::vector<proto::JobItem> take_items(const std::string& job);
 
 private:
-    struct pending;
-    using pending_ptr = std::shared_ptr<pending>;
-
-    std::vector<std::vector<jobs::JobRecord>>
-    make_appends(const pending& it) const;
-    void append(const pending_ptr& it);
-    void take_append(const pending_ptr& it, std::error_code ec);
-    void take_commit(const jobs::JobCommit& commit,
+    friend class submission;
+
+    bool is_over_limit(const submission& it) const;
+    void take_commit(const proto::JobCommit& commit,
                      state::commit_verdict verdict);
-    void time_out(const pending_ptr& it);
-    void end(const pending_ptr& it, const submission_verdict& verdict);
 
     boost::asio::io_context& context_;
     job_log& jobs_;
-    std::map<std::string, pending_ptr> pending_;
+
+    /// Submissions that wait for their verdict, by nonce.
+    std::map<std::string, submission_ptr> waiting_;
 
     /// Items of accepted jobs, until they are taken.
-    std::map<std::string, std::vector<jobs::JobItem>> accepted_;
+    std::map<std::string, std::vector<proto::JobItem>> accepted_;
 };
 
 } // namespace tanagertrack::batch
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -8,27 +8,49 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace tanagertrack::batch
 {
 
+/// Order in which items start: due time, then age of the job, then place in
+/// the job.
+using item_rank = std::tuple<common::time_point, std::uint64_t, std::uint32_t>;
+
+/// How far the permission to run an item that may not be repeated is.
+enum class item_intent : std::uint8_t
+{
+    none,
+
+    /// Appended, and not read back yet.
+    asked,
+
+    /// Read back as the first one: this process may run the item, once.
+    granted
+};
+
 /// An item on its way, through all its attempts.
-struct item_run : boost::intrusive_ref_counter<item_run,
-                                               boost::thread_unsafe_counter>
+struct item_run
+    : boost::intrusive_ref_counter<item_run, boost::thread_unsafe_counter>
 {
     std::string job;
     std::uint32_t index = 0;
-    jobs::JobItem data;
+    item_rank rank;
+    proto::JobItem data;
+    std::size_t data_bytes = 0;
 
-    /// Data of the events so far, and the number of the last one.
+    /// Data of the events so far, or what there is of a whole answer.
     std::string text;
     std::uint32_t events = 0;
     std::optional<std::uint64_t> last_event;
 
-    /// Runs that the target answered with a failure.
+    /// Attempts, and those that the target answered with a failure.
+    std::uint32_t attempts = 0;
     std::uint32_t failures = 0;
 
     /// Attempts that ended without an answer, one after the other.
@@ -37,16 +59,53 @@
     /// Target that failed last; not chosen again while there are others.
     std::string avoided;
     targets::attempt_ptr attempt;
+    item_intent intent = item_intent::none;
 
     /// Not started before this time.
     common::time_point not_before;
 
     /// The item was ended or is not this process's any more.
     bool over = false;
+
+    /// Whether it can be taken back and started again.
+    bool may_be_taken_back() const
+    {
+        return !data.not_repeatable();
+    }
+
+    /// Forgets what was received: the next attempt starts from the beginning.
+    void restart()
+    {
+        text.clear();
+        events = 0;
+        last_event.reset();
+    }
 };
 
 using item_run_ptr = boost::intrusive_ptr<item_run>;
 
+/// A job that this process runs.
+struct job_run
+{
+    std::string id;
+    std::string host;
+    common::time_point due;
+
+    /// Order among jobs that are due at the same time.
+    std::uint64_t order = 0;
+
+    /// Items that are loaded and have not ended, by index.
+    std::map<std::uint32_t, item_run_ptr> items;
+
+    /// Parts before it are loaded or need not be.
+    std::size_t next_part = 0;
+    bool loading = false;
+    common::time_point load_again_at;
+
+    /// Since when the configuration has no route for the job.
+    std::optional<common::time_point> routeless_since;
+};
+
 } // namespace tanagertrack::batch
 
 #endif
--- a/src/batch/job_log.cpp
+++ b/src/batch/job_log.cpp
@@ -30,8 +30,8 @@
     : service_(service), settings_(std::move(settings)), table_(make_hooks())
 {
     store::follower_hooks hooks;
-    hooks.on_records = [this](std::uint64_t offset,
-                              std::span<const std::string> its)
+    hooks.on_records =
+        [this](std::uint64_t offset, std::span<const std::string> its)
     {
         take_records(offset, its);
     };
@@ -81,6 +81,18 @@
     {
         tell(listeners_, &table_hooks::on_member, args...);
     };
+    hooks.on_item_intent = [this](const auto&... args)
+    {
+        tell(listeners_, &table_hooks::on_item_intent, args...);
+    };
+    hooks.on_call_intent = [this](const auto&... args)
+    {
+        tell(listeners_, &table_hooks::on_call_intent, args...);
+    };
+    hooks.on_call_ended = [this](const auto&... args)
+    {
+        tell(listeners_, &table_hooks::on_call_ended, args...);
+    };
     return hooks;
 }
 
@@ -103,21 +115,20 @@
 
 void job_log::note_current()
 {
-    follower_->confirm(std::chrono::milliseconds(0),
-                       [this](std::error_code ec)
-                       {
-                           if (ec || std::exchange(current_, true))
-                               return;
-                           common::log_info(
-                               "jobs_read",
-                               {{"offset", follower_->next_offset()},
-                                {"jobs", table_.size()}});
-                           for (const auto& it : listeners_)
-                           {
-                               if (it.on_current)
-                                   it.on_current();
-                           }
-                       });
+    follower_->confirm(
+        std::chrono::milliseconds(0),
+        [this](std::error_code ec)
+        {
+            if (ec || std::exchange(current_, true))
+                return;
+            common::log_info("jobs_read", {{"offset", follower_->next_offset()},
+                                           {"jobs", table_.size()}});
+            for (const auto& it : listeners_)
+            {
+                if (it.on_current)
+                    it.on_current();
+            }
+        });
 }
 
 void job_log::take_records(std::uint64_t offset,
@@ -125,7 +136,7 @@
 {
     for (const auto& it : its)
     {
-        jobs::JobRecord record;
+        proto::JobRecord record;
         if (record.ParseFromString(it))
             table_.apply(offset, record);
         else
@@ -146,7 +157,7 @@
 
 void job_log::read_record(
     std::uint64_t offset,
-    std::function<void(std::error_code, const jobs::JobRecord&)> handler)
+    std::function<void(std::error_code, const proto::JobRecord&)> handler)
 {
     // The store answers with whole records, and with at least one.
     constexpr std::size_t one_record_bytes = 1024;
@@ -154,23 +165,21 @@
     call.from = place();
     call.offset = offset;
     call.max_bytes = one_record_bytes;
-    service_.read(call,
-                  [handler = std::move(handler)](
-                      const store::read_result& result)
-                  {
-                      jobs::JobRecord record;
-                      auto ec = result.ec;
-                      if (!ec && (result.records.empty() ||
-                                  !record.ParseFromString(
-                                      result.records.front())))
-                          ec = make_error_code(
-                              common::result_code::log_unavailable);
-                      handler(ec, record);
-                  });
+    service_.read(
+        call,
+        [handler = std::move(handler)](const store::read_result& result)
+        {
+            proto::JobRecord record;
+            auto ec = result.ec;
+            if (!ec && (result.records.empty() ||
+                        !record.ParseFromString(result.records.front())))
+                ec = make_error_code(common::result_code::log_unavailable);
+            handler(ec, record);
+        });
 }
 
 store::write_ticket
-job_log::append(const std::vector<jobs::JobRecord>& records,
+job_log::append(const std::vector<proto::JobRecord>& records,
                 bool waits_for_store, store::partition_writer::handler done)
 {
     std::vector<std::string> texts;
@@ -180,7 +189,7 @@
     return writer_->append(std::move(texts), waits_for_store, std::move(done));
 }
 
-void job_log::append(const jobs::JobRecord& record)
+void job_log::append(const proto::JobRecord& record)
 {
     append({record}, true,
            [](std::error_code ec, std::uint64_t)
--- a/src/batch/job_log.hpp
+++ b/src/batch/job_log.hpp
@@ -89,12 +89,12 @@
     }
 
     /// Appends records that belong together. See `partition_writer::append`.
-    store::write_ticket append(const std::vector<jobs::JobRecord>& records,
+    store::write_ticket append(const std::vector<proto::JobRecord>& records,
                                bool waits_for_store,
                                store::partition_writer::handler done);
 
     /// As `append`, for one record that waits for the store.
-    void append(const jobs::JobRecord& record);
+    void append(const proto::JobRecord& record);
 
     bool withdraw(store::write_ticket ticket)
     {
@@ -111,7 +111,7 @@
     /// Reads one record again.
     void read_record(
         std::uint64_t offset,
-        std::function<void(std::error_code, const jobs::JobRecord&)> handler);
+        std::function<void(std::error_code, const proto::JobRecord&)> handler);
 
     /// Forgets a job whose results need not be kept any more.
     void forget(const std::string& id)
@@ -119,6 +119,12 @@
         table_.forget(id);
     }
 
+    /// Forgets a call that is not asked for again.
+    void forget_call(const std::string& id)
+    {
+        table_.forget_call(id);
+    }
+
     /// Topic and partition of the jobs.
     static store::partition_ref place()
     {
--- a/src/batch/membership.cpp
+++ b/src/batch/membership.cpp
@@ -58,7 +58,7 @@
 
 void membership::announce()
 {
-    jobs::JobRecord record;
+    proto::JobRecord record;
     auto& it = *record.mutable_member_started();
     it.set_member(jobs_.member());
     it.set_host(settings_.host);
@@ -107,8 +107,7 @@
         return;
     last_join_ = common::clock::now();
     generation_ = result.generation;
-    const bool leads = std::ranges::find(result.partitions,
-                                         job_log::place()) !=
+    const bool leads = std::ranges::find(result.partitions, job_log::place()) !=
                        result.partitions.end();
     if (std::exchange(leader_, leads) != leads)
         common::log_info("batch_leader", {{"leads", leads ? 1 : 0},
@@ -126,8 +125,8 @@
     const bool silent = common::clock::now() - last_join_ >
                         settings_.session_timeout + settings_.join_interval;
     const auto others = hooks_.last_store_contact();
-    const bool pause = silent && others &&
-                       *others > service_.last_contact() + contact_lead;
+    const bool pause =
+        silent && others && *others > service_.last_contact() + contact_lead;
     if (silent)
         leader_ = false;
     if (std::exchange(paused_, pause) != pause)
@@ -178,8 +177,7 @@
     return !listed && !works;
 }
 
-std::vector<std::string>
-membership::live_members(common::time_point now) const
+std::vector<std::string> membership::live_members(common::time_point now) const
 {
     std::vector<std::string> live{jobs_.member()};
     jobs_.table().for_each_member(
@@ -200,8 +198,7 @@
         {
             const auto* runner = jobs_.table().find_member(job.runner);
             if (job.is_open() && runner != nullptr &&
-                runner->host == settings_.host &&
-                runner->id != jobs_.member())
+                runner->host == settings_.host && runner->id != jobs_.member())
                 orphans.push_back(&job);
         });
     for (const auto* job : orphans)
@@ -241,10 +238,9 @@
     if (asked.from == job.runner && now - asked.at < settings_.absence)
         return;
     asked = {job.runner, now};
-    common::log_info("job_reassigned", {{"job", job.id},
-                                        {"from", job.runner},
-                                        {"to", member}});
-    jobs::JobRecord record;
+    common::log_info("job_reassigned",
+                     {{"job", job.id}, {"from", job.runner}, {"to", member}});
+    proto::JobRecord record;
     auto& taken = *record.mutable_taken();
     taken.set_job(job.id);
     taken.set_from(job.runner);
@@ -258,7 +254,7 @@
     timer_.cancel();
     if (started_)
     {
-        jobs::JobRecord record;
+        proto::JobRecord record;
         record.mutable_member_stopped()->set_member(jobs_.member());
         jobs_.append(record);
     }
--- a/src/batch/result_recorder.cpp
+++ b/src/batch/result_recorder.cpp
@@ -26,8 +26,9 @@
 void result_recorder::add(item_end end)
 {
     ++unrecorded_;
-    unrecorded_bytes_ += end.text.size();
-    taken_bytes_ += end.text.size();
+    const auto bytes = end.text.text().size();
+    unrecorded_bytes_ += bytes;
+    taken_bytes_ += bytes;
     taken_.push_back(std::move(end));
     if (taken_bytes_ >= max_write_bytes)
         return flush();
@@ -58,24 +59,22 @@
 
 void result_recorder::write(std::vector<item_end> ends)
 {
-    std::vector<jobs::ItemText> texts(ends.size());
+    std::vector<proto::ItemText> texts;
     std::size_t bytes = 0;
-    for (std::size_t i = 0; i < ends.size(); ++i)
+    for (auto& it : ends)
     {
-        texts[i].set_item(ends[i].item_id);
-        bytes += ends[i].text.size();
-        texts[i].set_text(std::move(ends[i].text));
+        bytes += it.text.text().size();
+        texts.push_back(std::move(it.text));
     }
     texts_.write(
         std::move(texts),
         [this, bytes, ends = std::move(ends)](
-            std::error_code ec,
-            const std::vector<state::text_location>& places)
+            std::error_code ec, const std::vector<state::text_location>& places)
         {
             if (!ec)
                 return append(ends, places, bytes);
-            common::log_error("results_dropped", {{"items", ends.size()},
-                                                  {"what", ec.message()}});
+            common::log_error("results_dropped",
+                              {{"items", ends.size()}, {"what", ec.message()}});
             unrecorded_ -= ends.size();
             unrecorded_bytes_ -= bytes;
         });
@@ -85,7 +84,7 @@
                              const std::vector<state::text_location>& places,
                              std::size_t bytes)
 {
-    std::map<std::string, jobs::JobRecord> by_job;
+    std::map<std::string, proto::JobRecord> by_job;
     for (std::size_t i = 0; i < ends.size(); ++i)
     {
         auto& results = *by_job[ends[i].job].mutable_results();
@@ -96,20 +95,19 @@
         result.set_text_partition(places[i].partition);
         result.set_text_offset(places[i].offset);
     }
-    std::vector<jobs::JobRecord> records;
+    std::vector<proto::JobRecord> records;
     for (auto& [job, record] : by_job)
         records.push_back(std::move(record));
-    jobs_.append(records, true,
-                 [this, n = ends.size(), bytes](std::error_code ec,
-                                                std::uint64_t)
-                 {
-                     if (ec)
-                         common::log_error("results_dropped",
-                                           {{"items", n},
-                                            {"what", ec.message()}});
-                     unrecorded_ -= n;
-                     unrecorded_bytes_ -= bytes;
-                 });
+    jobs_.append(
+        records, true,
+        [this, n = ends.size(), bytes](std::error_code ec, std::uint64_t)
+        {
+            if (ec)
+                common::log_error("results_dropped",
+                                  {{"items", n}, {"what", ec.message()}});
+            unrecorded_ -= n;
+            unrecorded_bytes_ -= bytes;
+        });
 }
 
 } // namespace tanagertrack::batch
--- a/src/batch/result_recorder.hpp
+++ b/src/batch/result_recorder.hpp
@@ -20,11 +20,8 @@
 {
     std::string job;
     std::uint32_t item = 0;
-    std::string item_id;
-    jobs::ItemState state = jobs::ITEM_DONE;
-
-    /// Data of all events.
-    std::string text;
+    proto::ItemState state = proto::ITEM_DONE;
+    proto::ItemText text;
 };
 
 /// Records ends of items: first their texts, then, when it is known where
--- a/src/batch/results.cpp
+++ b/src/batch/results.cpp
@@ -49,8 +49,8 @@
     : context_(context), jobs_(jobs), texts_(texts)
 {
     job_listener listener;
-    listener.changes.on_result = [this](const state::batch_job& job,
-                                        std::uint32_t)
+    listener.changes.on_result =
+        [this](const state::batch_job& job, std::uint32_t)
     {
         wake(job.id);
     };
@@ -166,13 +166,13 @@
     if (!more)
         return end_read(it, {});
     const auto& item = job->items[job->results[it->page.next]];
-    texts_.read(item.text, [this, it](std::error_code ec,
-                                      const jobs::ItemText& text)
+    texts_.read(item.text,
+                [this, it](std::error_code ec, const proto::ItemText& text)
                 { take_text(it, ec, text); });
 }
 
 void results::take_text(const page_read_ptr& it, std::error_code ec,
-                        const jobs::ItemText& text)
+                        const proto::ItemText& text)
 {
     const auto* job = jobs_.table().find(it->job);
     if (ec || job == nullptr)
@@ -188,7 +188,7 @@
         return end_read(it, {});
     const auto& item = job->items[job->results[it->page.next]];
     it->bytes += text.text().size();
-    it->page.results.push_back({text.item(), item.state, text.text()});
+    it->page.results.push_back({item.state, text});
     ++it->page.next;
     read_texts(it);
 }
@@ -226,19 +226,26 @@
              jobs_.read_record(
                  offset,
                  [place, done](std::error_code result,
-                               const jobs::JobRecord& record)
+                               const proto::JobRecord& record)
                  {
                      const auto& items = record.part().items();
-                     if (!result && place >= static_cast<std::uint32_t>(
-                                                 items.size()))
-                         result =
-                             make_error_code(result_code::log_unavailable);
-                     done(result, result ? std::string()
-                                         : items[static_cast<int>(place)].body());
+                     if (!result &&
+                         place >= static_cast<std::uint32_t>(items.size()))
+                         result = make_error_code(result_code::log_unavailable);
+                     done(result, result
+                                      ? std::string()
+                                      : items[static_cast<int>(place)].body());
                  });
          });
 }
 
+void results::read_part(
+    const state::batch_job& job, std::size_t part,
+    std::function<void(std::error_code, const proto::JobRecord&)> done)
+{
+    jobs_.read_record(job.parts[part].offset, std::move(done));
+}
+
 void results::end(const std::string& job,
                   std::function<void(std::error_code)> done)
 {
@@ -250,7 +257,7 @@
                  ec = make_error_code(result_code::unknown_job);
              if (ec || known->ended)
                  return done(ec);
-             jobs::JobRecord record;
+             proto::JobRecord record;
              record.mutable_end()->set_job(job);
              common::log_info("job_end_asked", {{"job", job}});
              jobs_.append({record}, false,
--- a/src/batch/results.hpp
+++ b/src/batch/results.hpp
@@ -22,9 +22,8 @@
 /// One result of a job.
 struct job_result
 {
-    std::string item_id;
-    jobs::ItemState state = jobs::ITEM_DONE;
-    std::string text;
+    proto::ItemState state = proto::ITEM_DONE;
+    proto::ItemText text;
 };
 
 /// Results of a job from a position on.
@@ -45,8 +44,7 @@
 class results
 {
 public:
-    results(boost::asio::io_context& context, job_log& jobs,
-            text_store& texts);
+    results(boost::asio::io_context& context, job_log& jobs, text_store& texts);
 
     results(const results&) = delete;
     results& operator=(const results&) = delete;
@@ -63,15 +61,20 @@
     void read_body(const std::string& job, const std::string& item,
                    std::function<void(std::error_code, std::string)> done);
 
+    /// Reads the items of one part of a job again.
+    void read_part(
+        const state::batch_job& job, std::size_t part,
+        std::function<void(std::error_code, const proto::JobRecord&)> done);
+
     /// Ends a job: its open items are not run. Errors: `unknown_job`,
     /// `log_unavailable`.
     void end(const std::string& job, std::function<void(std::error_code)> done);
 
     /// Calls `found` with the job, or with null after it was made certain that
     /// there is none; an error when that is not possible.
-    void find(const std::string& job,
-              std::function<void(std::error_code, const state::batch_job*)>
-                  found);
+    void
+    find(const std::string& job,
+         std::function<void(std::error_code, const state::batch_job*)> found);
 
 private:
     struct page_read;
@@ -81,7 +84,7 @@
     void wait(const page_read_ptr& it);
     void read_texts(const page_read_ptr& it);
     void take_text(const page_read_ptr& it, std::error_code ec,
-                   const jobs::ItemText& text);
+                   const proto::ItemText& text);
     void end_read(const page_read_ptr& it, std::error_code ec);
     void wake(const std::string& job);
 
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -13,14 +13,12 @@
 {
 
 using outcome = targets::attempt_end::outcome;
+using state::intent_verdict;
 using std::chrono::milliseconds;
 
 namespace
 {
 
-constexpr unsigned status_unprocessable = 422;
-constexpr unsigned status_server_error = 500;
-
 /// Pause before an item is tried again after an attempt that ended without an
 /// answer; grows with each.
 constexpr auto broken_pause = milliseconds(50);
@@ -36,6 +34,12 @@
 /// Items looked at in one search for something to start.
 constexpr std::size_t max_scanned = 256;
 
+/// Bytes of items that are loaded at a time; jobs that are due later wait.
+constexpr std::size_t max_loaded_bytes = 8UL * 1024 * 1024;
+
+/// Items that wait for a place, above which no further ones are loaded.
+constexpr std::size_t enough_pending = 512;
+
 bool is_success(unsigned status)
 {
     return status / 100 == 2;
@@ -47,10 +51,15 @@
                result_recorder& recorder, intake& submissions)
     : shared_(shared), jobs_(jobs), texts_(texts), recorder_(recorder),
       intake_(submissions), timer_(shared.context)
+{
+    jobs_.add_listener(make_listener());
+}
+
+job_listener runner::make_listener()
 {
     job_listener listener;
-    listener.changes.on_commit = [this](const jobs::JobCommit& commit,
-                                        state::commit_verdict verdict)
+    listener.changes.on_commit =
+        [this](const proto::JobCommit& commit, state::commit_verdict verdict)
     {
         if (verdict == state::commit_verdict::accepted &&
             commit.member() == jobs_.member())
@@ -73,37 +82,67 @@
         if (job.runner == jobs_.member())
             take_job(job);
     };
-    jobs_.add_listener(std::move(listener));
+    listener.changes.on_item_intent =
+        [this](const proto::ItemIntent& intent, intent_verdict verdict)
+    {
+        take_intent(intent, verdict);
+    };
+    return listener;
 }
 
-runner::~runner() = default;
-
 void runner::start()
 {
     tick();
 }
 
+void runner::tick()
+{
+    const auto now = common::clock::now();
+    stop_silent(now);
+    for (auto& [id, run] : runs_)
+    {
+        if (run.routeless_since &&
+            now - *run.routeless_since > shared_.settings.routeless_time)
+            give_up(run);
+    }
+    load_more(now);
+    yield();
+    pump();
+    timer_.expires_after(shared_.settings.tick);
+    timer_.async_wait(
+        [this](const auto& ec)
+        {
+            if (!ec && !handed_over_)
+                tick();
+        });
+}
+
 void runner::set_paused(bool paused)
 {
     if (std::exchange(paused_, paused) == paused)
         return;
-    common::log_info(paused ? "batch_paused" : "batch_resumed",
-                     {{"running", running_.size()},
-                      {"pending", pending_.size()}});
+    common::log_info(
+        paused ? "batch_paused" : "batch_resumed",
+        {{"running", running_.size()}, {"pending", pending_.size()}});
     if (!paused)
         return pump_soon();
     for (const auto& it : std::vector(running_.begin(), running_.end()))
-        stop_attempt(it, "paused");
+    {
+        if (it->may_be_taken_back())
+            stop_attempt(it, "paused");
+    }
 }
 
+// ---- jobs ----
+
 void runner::take_job(const state::batch_job& job)
 {
     if (!job.is_open() || handed_over_)
         return;
-    auto run = std::make_unique<job_run>();
-    run->id = job.id;
-    run->host = job.host;
-    run->order = job.accepted_at;
+    auto& run = runs_[job.id];
+    run.id = job.id;
+    run.host = job.host;
+    run.order = job.accepted_at;
 
     // The time of day may be wrong: a job is never taken to be older than its
     // due time, nor to come from the future.
@@ -112,151 +151,179 @@
                                : shared_.settings.default_due;
     const auto now_ms = common::unix_time_ms();
     const auto age = milliseconds(now_ms - std::min(now_ms, job.created_ms));
-    run->due = common::clock::now() + due_after - std::min(age, due_after);
-    runs_[job.id] = std::move(run);
+    run.due = common::clock::now() + due_after - std::min(age, due_after);
 
     const auto items = intake_.take_items(job.id);
     if (items.empty())
-        return load_items(job);
-    add_items(*runs_[job.id], job, 0, items);
+        return load_more(common::clock::now());
+    run.next_part = job.parts.size();
+    add_items(run, job, 0, items);
     pump_soon();
 }
 
-void runner::load_items(const state::batch_job& job)
+void runner::drop_job(const std::string& id)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    auto run = std::move(found->second);
+    runs_.erase(found);
+    common::log_info("job_dropped",
+                     {{"job", id}, {"loaded_items", run.items.size()}});
+    for (const auto& [index, item] : std::map(run.items))
+        forget_item(run, item);
+}
+
+void runner::load_more(common::time_point now)
 {
-    common::log_info("job_loading", {{"job", job.id},
-                                     {"parts", job.parts.size()},
-                                     {"results", job.results.size()},
-                                     {"items", job.items.size()}});
-    for (const auto& part : job.parts)
-        load_part(job.id, part.offset);
+    if (handed_over_ || loaded_bytes_ >= max_loaded_bytes ||
+        pending_.size() >= enough_pending)
+        return;
+    std::vector<job_run*> wanting;
+    for (auto& [id, run] : runs_)
+    {
+        const auto* job = jobs_.table().find(id);
+        const bool more = job != nullptr && !run.loading &&
+                          now >= run.load_again_at &&
+                          run.next_part < job->parts.size();
+        if (more)
+            wanting.push_back(&run);
+    }
+    std::ranges::sort(wanting, {},
+                      [](const job_run* it)
+                      { return std::pair(it->due, it->order); });
+    for (auto* run : wanting)
+        load_part(*run, *jobs_.table().find(run->id));
 }
 
-void runner::load_part(const std::string& job, std::uint64_t offset)
+void runner::load_part(job_run& run, const state::batch_job& job)
 {
+    const auto& part = job.parts[run.next_part];
+    const auto first = job.items.begin() + part.first_item;
+    const bool needed = std::any_of(first, first + part.item_count,
+                                    [](const auto& it)
+                                    { return it.state == proto::ITEM_OPEN; });
+    if (!needed)
+    {
+        ++run.next_part;
+        return;
+    }
+    run.loading = true;
     jobs_.read_record(
-        offset,
-        [this, job, offset](std::error_code ec, const jobs::JobRecord& record)
-        { take_part(job, offset, ec, record); });
+        part.offset,
+        [this, id = run.id](std::error_code ec, const proto::JobRecord& record)
+        { take_part(id, ec, record); });
 }
 
-void runner::take_part(const std::string& job, std::uint64_t offset,
-                       std::error_code ec, const jobs::JobRecord& record)
+void runner::take_part(const std::string& job, std::error_code ec,
+                       const proto::JobRecord& record)
 {
-    const auto run = runs_.find(job);
+    const auto found = runs_.find(job);
     const auto* known = jobs_.table().find(job);
-    if (run == runs_.end() || known == nullptr)
+    if (found == runs_.end() || known == nullptr || !found->second.loading)
         return;
+    auto& run = found->second;
+    run.loading = false;
     if (ec)
     {
-        common::log_warning("job_part_unread", {{"job", job},
-                                                {"offset", offset},
-                                                {"what", ec.message()}});
-        run->second->unread_parts.push_back(offset);
-        run->second->read_again_at = common::clock::now() + read_again_pause;
+        common::log_warning("job_part_unread",
+                            {{"job", job}, {"what", ec.message()}});
+        run.load_again_at = common::clock::now() + read_again_pause;
         return;
     }
+    ++run.next_part;
     const auto& part = record.part();
-    add_items(*run->second, *known, part.first_item(),
+    add_items(run, *known, part.first_item(),
               {part.items().begin(), part.items().end()});
     pump_soon();
 }
 
-void runner::load_unread(job_run& run, common::time_point now)
-{
-    if (run.unread_parts.empty() || now < run.read_again_at)
-        return;
-    for (const auto offset : std::exchange(run.unread_parts, {}))
-        load_part(run.id, offset);
-}
-
 void runner::add_items(job_run& run, const state::batch_job& job,
                        std::uint32_t first,
-                       const std::vector<jobs::JobItem>& its)
+                       const std::vector<proto::JobItem>& its)
 {
     for (std::size_t i = 0; i < its.size(); ++i)
     {
         const auto index = first + static_cast<std::uint32_t>(i);
-        if (job.items[index].state != jobs::ITEM_OPEN)
+        if (job.items[index].state != proto::ITEM_OPEN)
             continue;
         item_run_ptr item(new item_run);
         item->job = run.id;
         item->index = index;
+        item->rank = {run.due, run.order, index};
         item->data = its[i];
+        item->data_bytes = its[i].ByteSizeLong();
+        loaded_bytes_ += item->data_bytes;
         run.items[index] = item;
+
         const auto progress = job.progress.find(index);
-        if (progress != job.progress.end())
+        if (job.intents.contains(index))
+            end_item(item, proto::ITEM_UNKNOWN, 0, {});
+        else if (progress != job.progress.end())
             load_progress(item, progress->second);
         else
-            pending_[rank_of(run, *item)] = item;
+            pending_[item->rank] = item;
     }
 }
 
 void runner::load_progress(const item_run_ptr& item,
                            const state::item_progress& progress)
 {
-    texts_.read(progress.text,
-                [this, item, progress](std::error_code ec,
-                                       const jobs::ItemText& text)
-                {
-                    if (item->over)
-                        return;
-
-                    // Without its text the item starts from its beginning.
-                    if (!ec)
-                    {
-                        item->text = text.text();
-                        item->last_event = progress.last_event;
-                        item->events = 1;
-                    }
-                    item->failures = progress.failures;
-                    requeue(item);
-                    pump_soon();
-                });
+    texts_.read(
+        progress.text,
+        [this, item, progress](std::error_code ec, const proto::ItemText& text)
+        {
+            if (item->over)
+                return;
+
+            // Without its text the item starts from its beginning.
+            if (!ec)
+            {
+                item->text = text.text();
+                item->last_event = progress.last_event;
+                item->events = 1;
+            }
+            item->failures = progress.failures;
+            requeue(item);
+            pump_soon();
+        });
 }
 
-void runner::drop_job(const std::string& id)
+void runner::give_up(job_run& run)
 {
-    const auto found = runs_.find(id);
-    if (found == runs_.end())
-        return;
-    const auto run = std::move(found->second);
-    runs_.erase(found);
-    for (const auto& [index, item] : run->items)
+    common::log_info("job_without_route",
+                     {{"job", run.id}, {"items", run.items.size()}});
+    run.routeless_since.reset();
+    for (const auto& [index, item] : std::map(run.items))
     {
-        item->over = true;
-        pending_.erase(rank_of(*run, *item));
-        running_.erase(item);
-        if (auto attempt = std::exchange(item->attempt, nullptr))
-            attempt->cancel();
+        if (!item->over && !item->attempt)
+            end_item(item, proto::ITEM_DEAD, 0, {});
     }
-    common::log_info("job_dropped",
-                     {{"job", id}, {"open_items", run->items.size()}});
 }
 
-void runner::drop_item(const std::string& job, std::uint32_t index)
+// ---- items ----
+
+void runner::forget_item(job_run& run, const item_run_ptr& item)
 {
-    const auto run = runs_.find(job);
-    if (run == runs_.end())
-        return;
-    const auto found = run->second->items.find(index);
-    if (found == run->second->items.end())
-        return;
-    const auto item = found->second;
     item->over = true;
-    pending_.erase(rank_of(*run->second, *item));
+    pending_.erase(item->rank);
     running_.erase(item);
+    loaded_bytes_ -= std::exchange(item->data_bytes, 0);
+    run.items.erase(item->index);
     if (auto attempt = std::exchange(item->attempt, nullptr))
         attempt->cancel();
-    run->second->items.erase(found);
-    if (run->second->items.empty() && !jobs_.table().find(job)->is_open())
-        runs_.erase(run);
 }
 
-runner::item_rank runner::rank_of(const job_run& run,
-                                  const item_run& item) const
+void runner::drop_item(const std::string& job, std::uint32_t index)
 {
-    return {run.due, run.order, item.index};
+    const auto run = runs_.find(job);
+    if (run == runs_.end())
+        return;
+    const auto found = run->second.items.find(index);
+    if (found != run->second.items.end())
+        forget_item(run->second, item_run_ptr(found->second));
+    if (!jobs_.table().find(job)->is_open())
+        runs_.erase(run);
 }
 
 void runner::pump_soon()
@@ -280,52 +347,101 @@
         return;
     const auto now = common::clock::now();
     std::set<std::string> busy;
-    std::size_t scanned = 0;
-    for (auto it = pending_.begin();
-         it != pending_.end() && scanned < max_scanned; ++scanned)
+    std::vector<item_run_ptr> looked_at;
+    for (const auto& [rank, item] : pending_)
+    {
+        if (looked_at.size() >= max_scanned)
+            break;
+        looked_at.push_back(item);
+    }
+    for (const auto& item : looked_at)
     {
-        const auto item = it->second;
-        auto& run = *runs_.at(item->job);
+        if (item->over)
+            continue;
+        auto& run = runs_.find(item->job)->second;
         const auto to = find_route(run, *item);
-        const bool waits = item->not_before > now || to.route == nullptr ||
-                           busy.contains(to.service);
-        if (waits)
+        if (busy.contains(to.service) || !may_start(run, item, to, now))
+            continue;
+        const auto where = choose_target(*item, to.service);
+        if (!where)
         {
-            ++it;
+            busy.insert(to.service);
             continue;
         }
-        it = pending_.erase(it);
-        if (start_item(run, item, to))
-            continue;
-        busy.insert(to.service);
-        it = std::next(pending_.emplace(rank_of(run, *item), item).first);
+        pending_.erase(item->rank);
+        send(run, item, where);
+    }
+}
+
+bool runner::may_start(job_run& run, const item_run_ptr& item,
+                       const item_route& to, common::time_point now)
+{
+    if (to.service.empty())
+    {
+        if (!run.routeless_since)
+            run.routeless_since = now;
+        return false;
     }
+    run.routeless_since.reset();
+    return item->not_before <= now &&
+           (!item->data.not_repeatable() || has_intent(item));
+}
+
+bool runner::has_intent(const item_run_ptr& item)
+{
+    if (item->intent != item_intent::none)
+        return item->intent == item_intent::granted;
+    item->intent = item_intent::asked;
+    proto::JobRecord record;
+    auto& intent = *record.mutable_item_intent();
+    intent.set_job(item->job);
+    intent.set_item(item->index);
+    intent.set_member(jobs_.member());
+    jobs_.append({record}, true,
+                 [this](std::error_code, std::uint64_t)
+                 { jobs_.confirm(milliseconds(0), [](std::error_code) {}); });
+    return false;
+}
+
+void runner::take_intent(const proto::ItemIntent& intent,
+                         intent_verdict verdict)
+{
+    const auto run = runs_.find(intent.job());
+    if (run == runs_.end())
+        return;
+    const auto found = run->second.items.find(intent.item());
+    if (found == run->second.items.end() || found->second->over)
+        return;
+    const auto item = found->second;
+    const bool own = intent.member() == jobs_.member();
+    if (verdict == intent_verdict::first && own)
+    {
+        item->intent = item_intent::granted;
+        return pump_soon();
+    }
+
+    // Another process may run the item, or may have.
+    if (item->intent != item_intent::granted &&
+        verdict != intent_verdict::void_item)
+        end_item(item, proto::ITEM_UNKNOWN, 0, {});
 }
 
 runner::item_route runner::find_route(job_run& run, const item_run& item)
 {
+    if (!item.data.service().empty())
+        return {nullptr, item.data.service()};
     const auto configuration = shared_.configuration();
     if (!configuration)
         return {};
     const auto* route = configuration->find_route(run.host, item.data.path());
-    const bool usable = route != nullptr &&
-                        route->kind == fleet::route_kind::batch &&
-                        !route->services.empty();
-    if (!usable)
-    {
-        if (!run.routeless_since)
-            run.routeless_since = common::clock::now();
+    if (route == nullptr || route->kind != fleet::route_kind::batch)
         return {};
-    }
-    run.routeless_since.reset();
+
+    // The same item goes to the same service.
     std::size_t total = 0;
     for (const auto& it : route->services)
         total += it.weight;
-    if (total == 0)
-        return {};
-
-    // The same item goes to the same service.
-    auto drawn = (run.order + item.index) % total;
+    auto drawn = total == 0 ? 0 : (run.order + item.index) % total;
     for (const auto& it : route->services)
     {
         if (drawn < it.weight)
@@ -335,77 +451,81 @@
     return {};
 }
 
-bool runner::start_item(job_run& run, const item_run_ptr& item,
-                        const item_route& to)
+targets::target_ptr runner::choose_target(const item_run& item,
+                                          const std::string& service)
 {
     std::vector<targets::target_ptr> usable;
     std::vector<const routing::target_load*> loads;
-    const auto& all = shared_.targets.of_service(to.service);
+    const auto& all = shared_.targets.of_service(service);
     for (const auto& it : all)
     {
-        const bool avoided = it->id() == item->avoided && all.size() > 1;
-        const auto claimed = shared_.starts_before(*it);
-        if (avoided || it->load.free_slots() <= claimed)
+        const bool avoided = it->id() == item.avoided && all.size() > 1;
+        if (avoided || it->load.free_slots() <= shared_.starts_before(*it))
             continue;
         usable.push_back(it);
         loads.push_back(&it->load);
     }
-    const auto now = common::clock::now();
-    const auto choice =
-        shared_.place.choose_batch(loads, shared_.settings.reserve, now);
-    if (!choice)
-        return false;
+    const auto choice = shared_.place.choose_batch(
+        loads, shared_.settings.reserve, common::clock::now());
+    return choice ? usable[choice->index] : nullptr;
+}
 
-    const auto where = usable[choice->index];
+void runner::send(const job_run& run, const item_run_ptr& item,
+                  const targets::target_ptr& where)
+{
+    http::header_list headers;
+    for (const auto& it : item->data.headers())
+        headers.add(it.name(), it.value());
     targets::attempt_order order;
     order.work = routing::work_class::batch;
-    order.request = write_request(run, *item, *where);
+    order.request = shared_.protocol.write(
+        {item->data.id(), item->data.method(), item->data.path(), run.host,
+         headers, item->data.body(), where->id(), std::nullopt,
+         item->last_event});
     order.request_id = item->data.id();
-    order.events = true;
+    order.events = !item->data.whole_answer();
     order.after_event = item->last_event;
+    if (item->data.not_repeatable())
+        order.max_rest = milliseconds(0);
+    if (item->data.whole_answer())
+        item->restart();
+
     targets::attempt_hooks hooks;
     hooks.on_piece =
         [item](std::string_view piece, std::optional<std::uint64_t> event)
     {
-        // The body of a failure is no text.
+        item->broken = 0;
         if (!event)
+        {
+            // A whole answer, or the body of a failure.
+            if (item->data.whole_answer())
+                item->text += piece;
             return;
+        }
         if (item->events++ != 0)
             item->text += '\n';
         item->text += http::event_data(piece);
         item->last_event = event;
-        item->broken = 0;
     };
     hooks.on_end = [this, item](const targets::attempt_end& end)
     {
         take_end(item, end);
     };
     ++counts_.started;
-    common::log_info("item_sent", {{"job", item->job},
-                                   {"item", item->data.id()},
-                                   {"target", where->id()},
-                                   {"after_event", item->last_event.value_or(0)},
-                                   {"failures", item->failures},
-                                   {"online", where->load.online()},
-                                   {"batch", where->load.batch()},
-                                   {"slots", where->load.slots}});
+    ++item->attempts;
+    common::log_info("item_sent",
+                     {{"job", item->job},
+                      {"item", item->data.id()},
+                      {"target", where->id()},
+                      {"after_event", item->last_event.value_or(0)},
+                      {"attempt", item->attempts},
+                      {"online", where->load.online()},
+                      {"batch", where->load.batch()},
+                      {"slots", where->load.slots}});
     item->attempt = new targets::attempt(shared_.protocol, where,
                                          std::move(order), std::move(hooks));
     running_.insert(item);
     item->attempt->start();
-    return true;
-}
-
-std::string runner::write_request(const job_run& run, const item_run& item,
-                                  const targets::target& where) const
-{
-    http::header_list headers;
-    for (const auto& it : item.data.headers())
-        headers.add(it.name(), it.value());
-    return shared_.protocol.write({item.data.id(), item.data.method(),
-                                   item.data.path(), run.host, headers,
-                                   item.data.body(), where.id(), std::nullopt,
-                                   item.last_event});
 }
 
 void runner::take_end(const item_run_ptr& item, const targets::attempt_end& end)
@@ -414,99 +534,102 @@
     running_.erase(item);
     if (item->over)
         return;
-    if (end.what == outcome::complete && is_success(end.status))
-    {
-        end_item(item, jobs::ITEM_DONE);
-        return pump_soon();
-    }
-    common::log_info("item_attempt_failed",
-                     {{"job", item->job},
-                      {"item", item->data.id()},
-                      {"target", attempt->where()->id()},
-                      {"status", end.status},
-                      {"reason", end.reason},
-                      {"what", end.ec.message()},
-                      {"events", item->events}});
-    item->avoided = attempt->where()->id();
+    if (end.what != outcome::complete || !is_success(end.status))
+        common::log_info("item_attempt_failed",
+                         {{"job", item->job},
+                          {"item", item->data.id()},
+                          {"target", attempt->where()->id()},
+                          {"status", end.status},
+                          {"reason", end.reason},
+                          {"what", end.ec.message()},
+                          {"events", item->events}});
     if (end.what == outcome::complete)
-        take_answer(item, end.status);
+        take_answer(item, *attempt, end.status);
     else
-    {
-        ++item->broken;
-        item->not_before =
-            common::clock::now() +
-            broken_pause * std::min(item->broken, max_broken_pauses);
-        if (item->broken == max_broken_resumes)
-        {
-            item->text.clear();
-            item->events = 0;
-            item->last_event.reset();
-        }
-        requeue(item);
-    }
+        take_broken(item, *attempt, end);
     pump_soon();
 }
 
-void runner::take_answer(const item_run_ptr& item, unsigned status)
+void runner::take_answer(const item_run_ptr& item,
+                         const targets::attempt& attempt, unsigned status)
 {
-    if (status == status_unprocessable)
-        return end_item(item, jobs::ITEM_DEAD);
-    if (status == status_server_error)
+    const auto& target = attempt.where()->id();
+    if (is_success(status))
+        return end_item(item, proto::ITEM_DONE, status, target);
+    const auto meaning = shared_.judge_failure(status);
+    if (meaning == failure_kind::counted)
         ++item->failures;
-    if (item->failures >= max_attempts(item->job))
-        return end_item(item, jobs::ITEM_DEAD);
+    const bool hopeless = meaning == failure_kind::permanent ||
+                          item->data.not_repeatable() ||
+                          item->failures >= max_failures(item->job);
+    if (hopeless)
+        return end_item(item, proto::ITEM_DEAD, status, target);
+    item->avoided = target;
     item->not_before = common::clock::now() + broken_pause;
     requeue(item);
 }
 
-std::uint32_t runner::max_attempts(const std::string& job) const
+void runner::take_broken(const item_run_ptr& item,
+                         const targets::attempt& attempt,
+                         const targets::attempt_end& end)
+{
+    const auto& target = attempt.where()->id();
+    if (end.what != outcome::not_run && item->data.not_repeatable())
+        return end_item(item, proto::ITEM_UNKNOWN, end.status, target);
+    ++item->broken;
+    item->avoided = target;
+    item->not_before = common::clock::now() +
+                       broken_pause * std::min(item->broken, max_broken_pauses);
+    if (item->broken == max_broken_resumes)
+        item->restart();
+    requeue(item);
+}
+
+std::uint32_t runner::max_failures(const std::string& job) const
 {
     const auto configuration = shared_.configuration();
     const auto* known = jobs_.table().find(job);
     if (!configuration || known == nullptr)
-        return 1;
+        return shared_.settings.max_failures;
     const auto* route = configuration->find_route_named(known->route);
-    constexpr std::uint32_t otherwise = 3;
-    return route == nullptr ? otherwise : route->max_attempts;
+    return route == nullptr ? shared_.settings.max_failures
+                            : route->max_attempts;
 }
 
-void runner::end_item(const item_run_ptr& item, jobs::ItemState state)
+void runner::end_item(const item_run_ptr& item, proto::ItemState state,
+                      unsigned status, const std::string& target)
 {
-    const bool done = state == jobs::ITEM_DONE;
-    ++(done ? counts_.done : counts_.dead);
+    const bool done = state == proto::ITEM_DONE;
+    const bool unknown = state == proto::ITEM_UNKNOWN;
+    ++(done ? counts_.done : unknown ? counts_.unknown : counts_.dead);
     common::log_info("item_ended", {{"job", item->job},
                                     {"item", item->data.id()},
-                                    {"state", done ? "done" : "dead"},
+                                    {"state", done      ? "done"
+                                              : unknown ? "unknown"
+                                                        : "dead"},
+                                    {"status", status},
                                     {"events", item->events},
+                                    {"attempts", item->attempts},
                                     {"failures", item->failures}});
     item->over = true;
-    recorder_.add({item->job, item->index, item->data.id(), state,
-                   done ? std::move(item->text) : std::string()});
+    pending_.erase(item->rank);
+    item_end end;
+    end.job = item->job;
+    end.item = item->index;
+    end.state = state;
+    end.text.set_item(item->data.id());
+    end.text.set_http_status(status);
+    end.text.set_target(target);
+    end.text.set_attempts(item->attempts);
+    if (done || item->data.whole_answer())
+        end.text.set_text(std::move(item->text));
+    recorder_.add(std::move(end));
 }
 
 void runner::requeue(const item_run_ptr& item)
 {
-    const auto run = runs_.find(item->job);
-    if (run != runs_.end() && !item->over)
-        pending_[rank_of(*run->second, *item)] = item;
-}
-
-void runner::yield()
-{
-    std::set<targets::target_ptr> used;
-    for (const auto& it : running_)
-        used.insert(it->attempt->where());
-    for (const auto& it : used)
-    {
-        const auto& load = it->load;
-        if (load.total() <= load.slots)
-            continue;
-        const auto excess = load.total() - load.slots;
-        const auto others = std::min(excess, shared_.yields_before(*it));
-        const auto own = std::min(excess - others, load.own_batch);
-        for (std::uint32_t n = 0; n < own; ++n)
-            make_room(*it);
-    }
+    if (!item->over)
+        pending_[item->rank] = item;
 }
 
 bool runner::make_room(targets::target& where)
@@ -514,16 +637,16 @@
     // The item with the most time left gives way; among equals the one that
     // has got least far.
     item_run_ptr chosen;
-    const auto later = [this](const item_run_ptr& a, const item_run_ptr& b)
+    const auto gives_way_before = [](const item_run& a, const item_run& b)
     {
-        const auto& x = *runs_.at(a->job);
-        const auto& y = *runs_.at(b->job);
-        return std::tuple(x.due, b->events) > std::tuple(y.due, a->events);
+        return std::pair(std::get<0>(a.rank), b.events) >
+               std::pair(std::get<0>(b.rank), a.events);
     };
     for (const auto& it : running_)
     {
-        if (it->attempt->where().get() == &where &&
-            (!chosen || later(it, chosen)))
+        const bool candidate =
+            it->attempt->where().get() == &where && it->may_be_taken_back();
+        if (candidate && (!chosen || gives_way_before(*it, *chosen)))
             chosen = it;
     }
     if (!chosen)
@@ -533,6 +656,24 @@
     return true;
 }
 
+void runner::yield()
+{
+    std::set<targets::target_ptr> used;
+    for (const auto& it : running_)
+        used.insert(it->attempt->where());
+    for (const auto& it : used)
+    {
+        const auto& load = it->load;
+        if (load.total() <= load.slots)
+            continue;
+        const auto excess = load.total() - load.slots;
+        const auto others = std::min(excess, shared_.yields_before(*it));
+        const auto own = std::min(excess - others, load.own_batch);
+        for (std::uint32_t n = 0; n < own; ++n)
+            make_room(*it);
+    }
+}
+
 void runner::stop_attempt(const item_run_ptr& item, std::string_view why)
 {
     const auto attempt = std::exchange(item->attempt, nullptr);
@@ -550,58 +691,39 @@
 {
     for (const auto& it : std::vector(running_.begin(), running_.end()))
     {
-        if (now - it->attempt->last_progress() < shared_.settings.patience)
+        const auto patience = it->data.whole_answer()
+                                  ? shared_.settings.answer_patience
+                                  : shared_.settings.event_patience;
+        if (now - it->attempt->last_progress() < patience)
             continue;
         it->avoided = it->attempt->where()->id();
-        stop_attempt(it, "silent");
-    }
-}
-
-void runner::give_up(job_run& run)
-{
-    common::log_info("job_without_route",
-                     {{"job", run.id}, {"items", run.items.size()}});
-    for (const auto& [index, item] : std::map(run.items))
-    {
-        if (item->over || item->attempt)
+        if (it->may_be_taken_back())
+        {
+            stop_attempt(it, "silent");
             continue;
-        pending_.erase(rank_of(run, *item));
-        end_item(item, jobs::ITEM_DEAD);
+        }
+        const auto attempt = std::exchange(it->attempt, nullptr);
+        attempt->cancel();
+        running_.erase(it);
+        end_item(it, proto::ITEM_UNKNOWN, 0, it->avoided);
     }
 }
 
-void runner::tick()
-{
-    const auto now = common::clock::now();
-    stop_silent(now);
-    for (const auto& [id, run] : runs_)
-    {
-        load_unread(*run, now);
-        if (run->routeless_since &&
-            now - *run->routeless_since > shared_.settings.routeless_time)
-            give_up(*run);
-    }
-    yield();
-    pump();
-    timer_.expires_after(shared_.settings.tick);
-    timer_.async_wait(
-        [this](const auto& ec)
-        {
-            if (!ec && !handed_over_)
-                tick();
-        });
-}
+// ---- planned stop ----
 
 void runner::hand_over(std::function<void()> done)
 {
     handed_over_ = true;
     timer_.cancel();
     for (const auto& it : std::vector(running_.begin(), running_.end()))
-        stop_attempt(it, "hand_over");
+    {
+        if (it->may_be_taken_back())
+            stop_attempt(it, "hand_over");
+    }
     recorder_.flush();
 
     std::vector<item_run_ptr> begun;
-    std::vector<jobs::ItemText> texts;
+    std::vector<proto::ItemText> texts;
     for (const auto& [rank, item] : pending_)
     {
         if (!item->last_event)
@@ -613,22 +735,22 @@
     }
     if (begun.empty())
         return done();
-    texts_.write(std::move(texts),
-                 [this, begun, done = std::move(done)](
-                     std::error_code ec,
-                     const std::vector<state::text_location>& places)
-                 {
-                     if (ec)
-                         return done();
-                     append_progress(begun, places, done);
-                 });
+    texts_.write(
+        std::move(texts),
+        [this, begun, done = std::move(done)](
+            std::error_code ec, const std::vector<state::text_location>& places)
+        {
+            if (ec)
+                return done();
+            append_progress(begun, places, done);
+        });
 }
 
 void runner::append_progress(const std::vector<item_run_ptr>& its,
                              const std::vector<state::text_location>& places,
                              const std::function<void()>& done)
 {
-    std::vector<jobs::JobRecord> records(its.size());
+    std::vector<proto::JobRecord> records(its.size());
     for (std::size_t i = 0; i < its.size(); ++i)
     {
         auto& it = *records[i].mutable_progress();
@@ -643,6 +765,8 @@
                  [done](std::error_code, std::uint64_t) { done(); });
 }
 
+// ---- counts ----
+
 runner_counts runner::counts() const
 {
     auto counts = counts_;
@@ -651,4 +775,10 @@
     return counts;
 }
 
+std::size_t runner::running_items(std::string_view job) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        running_, [job](const auto& it) { return it->job == job; }));
+}
+
 } // namespace tanagertrack::batch
--- a/src/batch/text_store.cpp
+++ b/src/batch/text_store.cpp
@@ -32,28 +32,27 @@
 {
 }
 
-void text_store::write(std::vector<jobs::ItemText> texts, write_handler done)
+void text_store::write(std::vector<proto::ItemText> texts, write_handler done)
 {
     std::vector<std::string> records;
     records.reserve(texts.size());
     for (const auto& it : texts)
         records.push_back(it.SerializeAsString());
-    writer_->append(
-        std::move(records), true,
-        [this, texts = std::move(texts),
-         done = std::move(done)](std::error_code ec, std::uint64_t offset)
-        {
-            std::vector<state::text_location> places;
-            for (const auto& it : texts)
-            {
-                if (ec)
-                    break;
-                places.push_back({own_partition_, offset});
-                remember({own_partition_, offset}, it);
-                ++offset;
-            }
-            done(ec, std::move(places));
-        });
+    writer_->append(std::move(records), true,
+                    [this, texts = std::move(texts), done = std::move(done)](
+                        std::error_code ec, std::uint64_t offset)
+                    {
+                        std::vector<state::text_location> places;
+                        for (const auto& it : texts)
+                        {
+                            if (ec)
+                                break;
+                            places.push_back({own_partition_, offset});
+                            remember({own_partition_, offset}, it);
+                            ++offset;
+                        }
+                        done(ec, std::move(places));
+                    });
 }
 
 void text_store::read(const state::text_location& place, read_handler done)
@@ -64,9 +63,8 @@
     call.from = {topic, place.partition};
     call.offset = place.offset;
     call.max_bytes = read_bytes;
-    service_.read(call,
-                  [this, place, done = std::move(done)](
-                      const store::read_result& result)
+    service_.read(call, [this, place, done = std::move(done)](
+                            const store::read_result& result)
                   { take_read(place, result, done); });
 }
 
@@ -74,7 +72,7 @@
                            const store::read_result& result,
                            const read_handler& done)
 {
-    jobs::ItemText text;
+    proto::ItemText text;
     if (result.ec)
         return done(result.ec, text);
     if (result.records.empty() || !text.ParseFromString(result.records.front()))
@@ -89,7 +87,7 @@
     done({}, text);
 }
 
-void text_store::remember(const place_key& place, jobs::ItemText text)
+void text_store::remember(const place_key& place, proto::ItemText text)
 {
     if (index_.contains(place))
         return;
@@ -104,7 +102,7 @@
     }
 }
 
-const jobs::ItemText* text_store::find_cached(const place_key& place)
+const proto::ItemText* text_store::find_cached(const place_key& place)
 {
     const auto it = index_.find(place);
     if (it == index_.end())
--- a/src/batch/text_store.hpp
+++ b/src/batch/text_store.hpp
@@ -41,7 +41,7 @@
     using write_handler =
         std::function<void(std::error_code, std::vector<state::text_location>)>;
     using read_handler =
-        std::function<void(std::error_code, const jobs::ItemText&)>;
+        std::function<void(std::error_code, const proto::ItemText&)>;
 
     text_store(boost::asio::io_context& context,
                const store::store_service& service,
@@ -52,7 +52,7 @@
 
     /// Appends texts; waits for the store. At most as many as fit into one
     /// append.
-    void write(std::vector<jobs::ItemText> texts, write_handler done);
+    void write(std::vector<proto::ItemText> texts, write_handler done);
 
     /// Reads one text.
     void read(const state::text_location& place, read_handler done);
@@ -66,14 +66,14 @@
     struct cached_text
     {
         place_key place;
-        jobs::ItemText text;
+        proto::ItemText text;
     };
 
     /// Most recently used first.
     using cache_list = std::list<cached_text>;
 
-    void remember(const place_key& place, jobs::ItemText text);
-    const jobs::ItemText* find_cached(const place_key& place);
+    void remember(const place_key& place, proto::ItemText text);
+    const proto::ItemText* find_cached(const place_key& place);
     void take_read(const state::text_location& place,
                    const store::read_result& result, const read_handler& done);
 
--- a/src/config/setting_table.cpp
+++ b/src/config/setting_table.cpp
@@ -100,9 +100,8 @@
                               std::map<std::string, std::string>& value,
                               std::size_t max_bytes, std::string help)
 {
-    const auto type =
-        "mapping of names to texts of at most " + std::to_string(max_bytes) +
-        " bytes";
+    const auto type = "mapping of names to texts of at most " +
+                      std::to_string(max_bytes) + " bytes";
     add_row({std::move(key), type, "", std::move(help),
              [&value, type, max_bytes](const YAML::Node& node) -> std::string
              {
@@ -185,6 +184,26 @@
              }});
 }
 
+void setting_table::add_seconds(std::string key,
+                                std::chrono::milliseconds& value, double min,
+                                double max, std::string help)
+{
+    constexpr double ms_per_s = 1000;
+    const auto type = range_text("seconds", min, max);
+    std::ostringstream default_text;
+    default_text << static_cast<double>(value.count()) / ms_per_s;
+    add_row({std::move(key), type, default_text.str(), std::move(help),
+             [&value, min, max, type](const YAML::Node& node) -> std::string
+             {
+                 double n = 0;
+                 if (!decode(node, n) || !(n >= min && n <= max))
+                     return expected(type, node);
+                 value = std::chrono::milliseconds(
+                     static_cast<std::int64_t>(n * ms_per_s));
+                 return {};
+             }});
+}
+
 void setting_table::add_ms(std::string key, std::chrono::milliseconds& value,
                            std::int64_t min, std::int64_t max, std::string help)
 {
--- a/src/config/setting_table.hpp
+++ b/src/config/setting_table.hpp
@@ -80,6 +80,11 @@
     void add_ms(std::string key, std::chrono::milliseconds& value,
                 std::int64_t min, std::int64_t max, std::string help);
 
+    /// Adds a duration in seconds, with a fraction, in [min, max]; the key ends
+    /// in "_s".
+    void add_seconds(std::string key, std::chrono::milliseconds& value,
+                     double min, double max, std::string help);
+
     /// Adds an "IP:PORT".
     void add_endpoint(std::string key, common::endpoint& value,
                       std::string help);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -15,7 +15,7 @@
 namespace tanagertrack::config
 {
 
-/// The platform's services.
+/// Addresses on the users' platform.
 struct platform_settings
 {
     /// The metadata store.
@@ -25,18 +25,6 @@
     /// callers speak the platform's protocol.
     common::endpoint front;
     common::endpoint ready;
-    common::endpoint control;
-
-    /// Control listeners of other processes; some may be down.
-    std::vector<common::endpoint> seeds;
-
-    common::endpoint log;
-    common::endpoint hosts;
-    common::endpoint weights;
-    std::chrono::milliseconds log_timeout{2000};
-    std::chrono::milliseconds log_read_wait{1000};
-    std::size_t max_record_bytes = 256 * 1024;
-    std::chrono::milliseconds hosts_interval{2000};
 };
 
 /// Limits that the store states, and the rates at which it is used.
@@ -76,67 +64,48 @@
     std::string key;
 };
 
-/// Listener and connections between own processes.
+/// What entries say to each other.
 struct peer_settings
 {
+    /// UDP port of the exchange of load.
     std::uint16_t port = 0;
-    std::size_t send_buffer_bytes = 256 * 1024;
-    std::chrono::milliseconds ping_interval{2000};
-    std::chrono::milliseconds ping_timeout{2000};
+
+    /// Listener for entries that start while the store is away, and those of
+    /// others.
+    common::endpoint control;
     std::vector<common::endpoint> entries;
 };
 
 /// Batch work on an entry.
 struct batch_settings
 {
-    std::uint32_t partitions = 8;
-    std::chrono::milliseconds heartbeat_interval{1000};
-    std::chrono::milliseconds lease_duration{3000};
-    std::size_t max_jobs = 4096;
-    std::size_t max_items = 2000000;
     std::size_t max_items_per_job = 140000;
-    std::size_t max_in_flight = 1024;
     std::size_t max_unrecorded_results = 4096;
-    std::size_t max_unrecorded_bytes = 32 * 1024 * 1024;
+    std::size_t max_unrecorded_bytes = 16UL * 1024 * 1024;
     std::uint32_t max_attempts = 4;
     std::chrono::milliseconds attempt_timeout{120000};
-    std::chrono::milliseconds result_flush_interval{200};
+    std::chrono::milliseconds result_flush_interval{100};
     std::chrono::milliseconds key_retention{86400000};
     std::chrono::milliseconds result_retention{86400000};
-    std::chrono::milliseconds log_retention{172800000};
-    std::string order = "fair_deadline";
 };
 
 /// Online routing on an entry.
 struct routing_settings
 {
-    std::string policy = "two_choices";
-    std::uint32_t subset_size = 20;
-    double retry_budget = 0.1;
-    std::string slow_targets = "avoid";
+    std::string policy = "expected_start";
     std::uint32_t max_attempts = 3;
     double default_requests_per_second = 50;
     std::uint32_t default_burst = 100;
 };
 
-/// The target beside an agent.
-struct agent_settings
-{
-    std::string target;
-    std::string kind = "engine";
-    common::endpoint target_address;
-    std::uint32_t slots = 16;
-    std::string admission = "online_first";
-    std::uint32_t online_reserve = 2;
-    std::uint32_t batch_stock = 16;
-    std::uint32_t max_queued_online = 256;
-    std::uint16_t admin_port = 0;
-};
-
 /// Planned stop.
 struct stop_settings
 {
     std::chrono::milliseconds grace{30000};
+
+    /// Time for which new callers are still taken: balancers need to learn
+    /// that the entry stops.
+    std::chrono::milliseconds listen{3000};
 };
 
 /// All settings of a daemon.
@@ -154,7 +123,6 @@
     /// Region of each data centre; others are in `region`.
     std::map<std::string, std::string> regions;
     std::string cluster_key;
-    std::size_t ring_capacity = 8192;
     std::size_t max_metric_series = 1000;
     platform_settings platform;
     store_settings store;
@@ -163,7 +131,6 @@
     peer_settings peer;
     batch_settings batch;
     routing_settings routing;
-    agent_settings agent;
     stop_settings stop;
 };
 
--- a/src/config/ticket.hpp
+++ b/src/config/ticket.hpp
@@ -2,7 +2,7 @@
 #define TANAGERTRACK_CONFIG_TICKET_HPP
 
 #include "config/setting_table.hpp"
-#include "proto/records.pb.h"
+#include "proto/tickets.pb.h"
 
 #include <cstddef>
 #include <cstdint>
--- /dev/null
+++ b/src/entry/entry_core.hpp
@@ -0,0 +1,188 @@
+#ifndef TANAGERTRACK_ENTRY_ENTRY_CORE_HPP
+#define TANAGERTRACK_ENTRY_ENTRY_CORE_HPP
+
+#include "batch/environment.hpp"
+#include "batch/intake.hpp"
+#include "batch/job_log.hpp"
+#include "batch/membership.hpp"
+#include "batch/once_calls.hpp"
+#include "batch/result_recorder.hpp"
+#include "batch/results.hpp"
+#include "batch/retention.hpp"
+#include "batch/runner.hpp"
+#include "batch/text_store.hpp"
+#include "common/metrics.hpp"
+#include "config/settings.hpp"
+#include "fleet/configuration.hpp"
+#include "fleet/target_directory.hpp"
+#include "online/environment.hpp"
+#include "peers/load_exchange.hpp"
+#include "store/store_service.hpp"
+#include "targets/target_set.hpp"
+
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace tanagertrack::entry
+{
+
+/// What differs between deployments.
+struct core_parts
+{
+    store::store_service store;
+    targets::target_protocol protocol;
+
+    /// Meaning of a target's failure for a batch item.
+    std::function<batch::failure_kind(unsigned)> judge_failure;
+};
+
+/// The decisions and the state of an entry, without its edges: targets and
+/// their load, online requests, batch jobs, membership. One thread.
+class entry_core
+{
+public:
+    /// All arguments outlive the core.
+    entry_core(boost::asio::io_context& context,
+               const config::settings& settings,
+               common::metrics_registry& metrics, core_parts parts);
+
+    entry_core(const entry_core&) = delete;
+    entry_core& operator=(const entry_core&) = delete;
+
+    /// Starts to follow jobs, to run items, and to speak to other entries.
+    void start();
+
+    /// Begins a planned stop: hands batch work over.
+    void stop();
+
+    /// Takes what time alone brings.
+    void tick(common::time_point now);
+
+    /// Puts a configuration into effect; false for one that is not newer.
+    bool apply(const fleet::configuration_ptr& configuration);
+
+    /// Sets what is called with each configuration that comes into effect.
+    void
+    on_configured(std::function<void(const fleet::configuration_ptr&)> hook)
+    {
+        configured_ = std::move(hook);
+    }
+
+    /// Configuration in effect; null before the first.
+    const fleet::configuration_ptr& configuration() const
+    {
+        return configuration_;
+    }
+
+    /// Targets, by what they say of themselves.
+    fleet::target_directory& directory()
+    {
+        return directory_;
+    }
+
+    const targets::target_set& targets() const
+    {
+        return targets_;
+    }
+
+    online::environment& online()
+    {
+        return online_;
+    }
+
+    batch::intake& submissions()
+    {
+        return submissions_;
+    }
+
+    batch::results& results()
+    {
+        return results_;
+    }
+
+    batch::once_calls& calls()
+    {
+        return calls_;
+    }
+
+    const batch::job_log& jobs() const
+    {
+        return jobs_;
+    }
+
+    const batch::runner& items() const
+    {
+        return items_;
+    }
+
+    const batch::membership& membership() const
+    {
+        return members_;
+    }
+
+    const store::store_service& store() const
+    {
+        return parts_.store;
+    }
+
+    boost::asio::io_context& context()
+    {
+        return context_;
+    }
+
+    const config::settings& settings() const
+    {
+        return settings_;
+    }
+
+    common::metrics_registry& metrics()
+    {
+        return metrics_;
+    }
+
+private:
+    fleet::target_directory::hooks make_directory_hooks();
+    batch::environment make_batch_environment();
+    batch::membership_hooks make_membership_hooks();
+    batch::job_listener make_member_listener();
+    peers::own_state own_state() const;
+    void update_gauges();
+
+    boost::asio::io_context& context_;
+    const config::settings& settings_;
+    common::metrics_registry& metrics_;
+    core_parts parts_;
+    fleet::configuration_ptr configuration_;
+    std::function<void(const fleet::configuration_ptr&)> configured_;
+
+    // Targets.
+    targets::target_set targets_;
+    fleet::target_directory directory_;
+    routing::random_below random_;
+    routing::placement place_;
+
+    // Online requests.
+    online::online_settings online_settings_;
+    online::environment online_;
+
+    // Batch work. The order of construction is that in which the parts are
+    // told of changes.
+    std::string member_;
+    batch::batch_settings batch_settings_;
+    batch::job_log jobs_;
+    batch::text_store texts_;
+    batch::result_recorder recorder_;
+    batch::intake submissions_;
+    batch::environment batch_;
+    batch::runner items_;
+    batch::results results_;
+    batch::once_calls calls_;
+    batch::membership members_;
+    batch::retention retention_;
+    peers::load_exchange exchange_;
+};
+
+} // namespace tanagertrack::entry
+
+#endif
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -1,36 +1,45 @@
 #ifndef TANAGERTRACK_ENTRY_ENTRY_PROCESS_HPP
 #define TANAGERTRACK_ENTRY_ENTRY_PROCESS_HPP
 
+#include "common/metrics.hpp"
 #include "config/settings.hpp"
+#include "entry/edge.hpp"
+#include "entry/entry_core.hpp"
 
 #include <functional>
 #include <memory>
-#include <system_error>
 
 namespace tanagertrack::entry
 {
 
-/// Role entry: the listeners, the threads and all parts of an entry.
+/// What a process is made of.
+struct process_parts
+{
+    std::function<core_parts(boost::asio::io_context&,
+                             common::metrics_registry&)>
+        make_core_parts;
+
+    /// Makes the edge; what it returns uses the core and the lifecycle's
+    /// hooks for as long as the process lives.
+    std::function<edge(entry_core&, std::function<void()> targets_known,
+                       std::function<bool()> is_ready)>
+        make_edge;
+};
+
+/// An entry: the core, one edge, signals, and the process's life. All runs on
+/// the thread that calls `run`: the users' machines have half a core, and
+/// charge each wake-up.
 class entry_process
 {
 public:
-    /// `settings` is checked and outlives the process.
-    explicit entry_process(const config::settings& settings);
+    /// `settings` outlive the process.
+    entry_process(const config::settings& settings, process_parts parts);
     ~entry_process();
 
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
 
-    /// Binds the listeners and starts the threads. Returns the first error of
-    /// a listener.
-    std::error_code start();
-
-    /// Planned stop: finishes the requests in progress, within the grace of
-    /// the settings. Blocks. After it nothing runs any more.
-    void stop();
-
-    /// Starts, waits for SIGTERM or SIGINT, and stops. A second signal ends
-    /// the process at once. Returns the exit status.
+    /// Serves until a planned stop has ended. Returns the exit status.
     int run();
 
 private:
--- a/src/entry/request_observer.cpp
+++ b/src/entry/request_observer.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// Statuses from which on an answer is an error.
+constexpr unsigned first_error = 400;
+
 double seconds_since(common::time_point start)
 {
     return std::chrono::duration<double>(common::clock::now() - start).count();
@@ -18,40 +21,39 @@
 } // namespace
 
 request_observer::request_observer(common::metrics_registry& metrics,
-                                   in_progress_count in_progress,
-                                   std::string_view request_class,
-                                   std::string_view team)
-    : metrics_(metrics), in_progress_(std::move(in_progress)),
-      class_(request_class), team_(team), started_(common::clock::now())
+                                   std::size_t& in_progress,
+                                   std::string_view kind, std::string_view team)
+    : metrics_(metrics), in_progress_(in_progress), kind_(kind), team_(team),
+      started_(common::clock::now())
 {
-    in_progress_->fetch_add(1);
+    ++in_progress_;
 }
 
 request_observer::~request_observer()
 {
+    --in_progress_;
     metrics_
         .get_histogram("tanagertrack_request_seconds",
                        "time from a request's header to its end",
-                       {{"class", class_}, {"team", team_}})
+                       {{"class", kind_}, {"team", team_}})
         .record(seconds_since(started_));
-    in_progress_->fetch_sub(1);
 }
 
 void request_observer::first_answer(unsigned status)
 {
-    if (answered_.exchange(true))
+    if (std::exchange(answered_, true))
         return;
     const auto text = std::to_string(status);
     metrics_
         .get_counter("tanagertrack_answers_total", "answers to callers",
-                     {{"class", class_}, {"status", text}})
+                     {{"class", kind_}, {"status", text}})
         .add();
-    if (status < 400)
+    if (status < first_error)
         metrics_
             .get_histogram("tanagertrack_first_answer_seconds",
                            "time from a request's header to the first part of "
                            "its answer, for a stream the first token",
-                           {{"class", class_}, {"team", team_}})
+                           {{"class", kind_}, {"team", team_}})
             .record(seconds_since(started_));
 }
 
@@ -65,4 +67,39 @@
         .add();
 }
 
+online::answer_hooks make_answer_hooks(const http::http_exchange_ptr& exchange,
+                                       request_observer_ptr observer)
+{
+    online::answer_hooks hooks;
+    hooks.refuse = [exchange, observer](const http::rejection& why)
+    {
+        observer->first_answer(common::info(why.code).http_status);
+        exchange->refuse(why);
+    };
+    hooks.respond =
+        [exchange, observer](http::answer_head head, std::string body)
+    {
+        observer->first_answer(head.status);
+        exchange->respond(std::move(head), std::move(body));
+    };
+    hooks.start = [exchange, observer](http::answer_head head)
+    {
+        observer->first_answer(head.status);
+        exchange->start_answer(std::move(head));
+    };
+    hooks.write = [exchange, observer](std::string piece, auto written)
+    {
+        exchange->write(std::move(piece), std::move(written));
+    };
+    hooks.finish = [exchange, observer]
+    {
+        exchange->finish();
+    };
+    hooks.abort = [exchange, observer]
+    {
+        exchange->abort();
+    };
+    return hooks;
+}
+
 } // namespace tanagertrack::entry
--- a/src/entry/request_observer.hpp
+++ b/src/entry/request_observer.hpp
@@ -3,8 +3,9 @@
 
 #include "common/clock.hpp"
 #include "common/result_code.hpp"
+#include "http/http_exchange.hpp"
+#include "online/request.hpp"
 
-#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -18,19 +19,16 @@
 namespace tanagertrack::entry
 {
 
-/// Requests in progress. Shared, because the last of them can outlive the
-/// parts of a process that is stopping.
-using in_progress_count = std::shared_ptr<std::atomic<std::size_t>>;
-
 /// Counts and times one caller's request, and holds its place among the
-/// requests in progress. Any thread.
+/// requests in progress. One thread.
 class request_observer
 {
 public:
-    /// `in_progress` counts the observers.
+    /// `in_progress` counts the observers and outlives them. `kind` and `team`
+    /// are labels of the metrics.
     request_observer(common::metrics_registry& metrics,
-                     in_progress_count in_progress,
-                     std::string_view request_class, std::string_view team);
+                     std::size_t& in_progress, std::string_view kind,
+                     std::string_view team);
     ~request_observer();
 
     request_observer(const request_observer&) = delete;
@@ -41,17 +39,23 @@
 
 private:
     common::metrics_registry& metrics_;
-    in_progress_count in_progress_;
-    std::string class_;
+    std::size_t& in_progress_;
+    std::string kind_;
     std::string team_;
     common::time_point started_;
-    std::atomic<bool> answered_{false};
+    bool answered_ = false;
 };
 
+using request_observer_ptr = std::shared_ptr<request_observer>;
+
 /// Counts a rejection by its code.
 void count_rejection(common::metrics_registry& metrics,
                      common::result_code code);
 
+/// Hooks that hand the answer of an online request to its caller.
+online::answer_hooks make_answer_hooks(const http::http_exchange_ptr& exchange,
+                                       request_observer_ptr observer);
+
 } // namespace tanagertrack::entry
 
 #endif
--- /dev/null
+++ b/src/entry/state_exchange.cpp
@@ -0,0 +1,150 @@
+#include "entry/state_exchange.hpp"
+
+#include "common/logging.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <utility>
+
+namespace tanagertrack::entry
+{
+
+using common::result_code;
+
+namespace
+{
+
+constexpr std::string_view state_path = "/state";
+constexpr unsigned status_ok = 200;
+
+/// Time before the first question, in which the store usually answers, and
+/// time for each entry to answer.
+constexpr auto first_delay = std::chrono::milliseconds(400);
+constexpr auto answer_time = std::chrono::milliseconds(400);
+
+/// Bytes of a state that is accepted.
+constexpr std::size_t max_state_bytes = 64UL * 1024 * 1024;
+
+http::http_settings server_settings()
+{
+    http::http_settings settings;
+    settings.name = "control";
+    settings.max_connections = 64;
+    return settings;
+}
+
+} // namespace
+
+state_exchange::state_exchange(boost::asio::io_context& context,
+                               const config::settings& settings,
+                               const edge& outside,
+                               std::function<bool()> wanted)
+    : context_(context), settings_(settings), outside_(outside),
+      wanted_(std::move(wanted)),
+      server_(context, server_settings(),
+              [this](const http::http_exchange_ptr& it) { serve(it); }),
+      timer_(context)
+{
+}
+
+std::error_code state_exchange::start()
+{
+    const auto& local = settings_.peer.control;
+    std::error_code ec;
+    if (local.port != 0)
+        ec = server_.listen(local);
+    if (ec)
+        common::log_warning(
+            "control_listen_failed",
+            {{"address", to_string(local)}, {"what", ec.message()}});
+    if (!settings_.peer.entries.empty())
+    {
+        timer_.expires_after(first_delay);
+        timer_.async_wait(
+            [this](const auto& result)
+            {
+                if (!result)
+                    ask();
+            });
+    }
+    return ec;
+}
+
+std::string state_exchange::authorization() const
+{
+    return "Bearer " + settings_.cluster_key;
+}
+
+void state_exchange::serve(const http::http_exchange_ptr& exchange) const
+{
+    const auto& head = exchange->head();
+    if (head.path() != state_path)
+        return exchange->refuse(http::rejection(result_code::unknown_path));
+    if (head.authorization() != authorization())
+        return exchange->refuse(http::rejection(result_code::forbidden));
+    if (wanted_())
+        return exchange->refuse(http::rejection(result_code::no_configuration));
+    http::answer_head answer;
+    answer.content_type = "application/octet-stream";
+    exchange->respond(std::move(answer), outside_.export_state());
+}
+
+void state_exchange::ask()
+{
+    if (!wanted_())
+        return;
+    const auto peer =
+        settings_.peer.entries[next_++ % settings_.peer.entries.size()];
+    http::client_settings options;
+    options.connect_timeout = answer_time;
+    connection_ = new http::client_connection(context_, options);
+    status_ = 0;
+    answer_.clear();
+
+    timer_.expires_after(answer_time);
+    timer_.async_wait(
+        [this](const auto& ec)
+        {
+            if (ec)
+                return;
+            connection_->close();
+            ask();
+        });
+    connection_->connect(
+        peer,
+        [this, peer](std::error_code ec)
+        {
+            if (ec)
+                return;
+            http::response_hooks hooks;
+            hooks.on_head = [this](const http::response_head& head)
+            {
+                status_ = head.status;
+            };
+            hooks.on_body = [this](std::string_view piece)
+            {
+                answer_ += piece;
+                if (answer_.size() > max_state_bytes)
+                    connection_->close();
+            };
+            hooks.on_end = [this](std::error_code result)
+            {
+                take(result);
+            };
+            connection_->send("GET " + std::string(state_path) +
+                                  " HTTP/1.1\r\nHost: " + to_string(peer) +
+                                  "\r\nAuthorization: " + authorization() +
+                                  "\r\nConnection: close\r\n\r\n",
+                              std::move(hooks));
+        });
+}
+
+void state_exchange::take(std::error_code ec)
+{
+    if (ec || status_ != status_ok || !wanted_())
+        return;
+    common::log_info("state_from_peer", {{"bytes", answer_.size()}});
+    outside_.import_state(answer_);
+}
+
+} // namespace tanagertrack::entry
--- a/src/fleet/target_directory.hpp
+++ b/src/fleet/target_directory.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tanagertrack::fleet
 {
@@ -18,7 +19,8 @@
 /// What a target says of itself.
 struct target_announcement
 {
-    std::string service;
+    /// Services whose requests it takes.
+    std::vector<std::string> services;
     common::endpoint address;
     std::string data_centre;
 
@@ -36,9 +38,8 @@
     /// Whether this one was made after `other`.
     bool is_newer_than(const target_announcement& other) const
     {
-        return started_ms != other.started_ms
-                   ? started_ms > other.started_ms
-                   : sequence > other.sequence;
+        return started_ms != other.started_ms ? started_ms > other.started_ms
+                                              : sequence > other.sequence;
     }
 };
 
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -28,7 +28,6 @@
 /// Bytes read from the socket at a time.
 constexpr std::size_t read_bytes = 4096;
 
-
 using user_timeout_option =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -76,22 +75,22 @@
     error_code ec;
     const auto address = asio::ip::make_address(peer.address, ec);
     const asio::ip::tcp::endpoint remote(address, peer.port);
-    socket_.async_connect(
-        remote,
-        [self](const error_code& result)
-        {
-            if (self->state_ != state::connecting)
-                return;
-            if (result)
-                return self->fail(result);
-            self->timer_.cancel();
-            self->set_options();
-            self->state_ = state::idle;
-            self->idle_since_ = common::clock::now();
-            self->read_on();
-            auto connected = std::exchange(self->connected_, nullptr);
-            connected({});
-        });
+    socket_.async_connect(remote,
+                          [self](const error_code& result)
+                          {
+                              if (self->state_ != state::connecting)
+                                  return;
+                              if (result)
+                                  return self->fail(result);
+                              self->timer_.cancel();
+                              self->set_options();
+                              self->state_ = state::idle;
+                              self->idle_since_ = common::clock::now();
+                              self->read_on();
+                              auto connected =
+                                  std::exchange(self->connected_, nullptr);
+                              connected({});
+                          });
 }
 
 void client_connection::set_options()
@@ -154,14 +153,13 @@
         return;
     reading_ = true;
     boost::intrusive_ptr<client_connection> self(this);
-    socket_.async_read_some(
-        buffer_.prepare(read_bytes),
-        [self](const error_code& ec, std::size_t n)
-        {
-            self->reading_ = false;
-            if (self->state_ != state::closed)
-                self->take_read(ec, n);
-        });
+    socket_.async_read_some(buffer_.prepare(read_bytes),
+                            [self](const error_code& ec, std::size_t n)
+                            {
+                                self->reading_ = false;
+                                if (self->state_ != state::closed)
+                                    self->take_read(ec, n);
+                            });
 }
 
 void client_connection::take_read(const error_code& ec, std::size_t n)
@@ -266,8 +264,8 @@
     {
         state_ = state::idle;
         idle_since_ = common::clock::now();
-        idle_until_ =
-            keep_alive_ ? idle_since_ + *keep_alive_ : common::time_point::max();
+        idle_until_ = keep_alive_ ? idle_since_ + *keep_alive_
+                                  : common::time_point::max();
         paused_ = false;
         read_on();
     }
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -31,10 +31,9 @@
 
 } // namespace
 
-request::request(environment& shared, call what, answer_hooks answer,
-                 std::function<void()> ended)
+request::request(environment& shared, call what, answer_hooks answer)
     : shared_(shared), call_(std::move(what)), answer_(std::move(answer)),
-      ended_hook_(std::move(ended)), timer_(shared.context),
+      timer_(shared.context),
       timeout_at_(
           std::min(call_.received + call_.route->timeout, call_.deadline)),
       last_event_(call_.after_event)
@@ -104,29 +103,25 @@
         shared_.make_room(*where);
     const auto now = common::clock::now();
     ++sends_;
-    common::log_info("request_sent",
-                     {{"request_id", call_.id},
-                      {"route", call_.route->name},
-                      {"version", call_.configuration->version()},
-                      {"target", where->id()},
-                      {"send", sends_},
-                      {"wait_ms", wait.count()},
-                      {"online", where->load.online()},
-                      {"batch", where->load.batch()},
-                      {"slots", where->load.slots},
-                      {"slowdown", where->load.reported.slowdown},
-                      {"report_age_ms",
-                       ms_between(where->load.reported.taken, now)}});
+    common::log_info(
+        "request_sent",
+        {{"request_id", call_.id},
+         {"route", call_.route->name},
+         {"version", call_.configuration->version()},
+         {"target", where->id()},
+         {"send", sends_},
+         {"wait_ms", wait.count()},
+         {"online", where->load.online()},
+         {"batch", where->load.batch()},
+         {"slots", where->load.slots},
+         {"slowdown", where->load.reported.slowdown},
+         {"report_age_ms", ms_between(where->load.reported.taken, now)}});
 
     const targets::outgoing_request outgoing{
-        call_.id,
-        call_.method,
-        call_.target,
-        call_.host,
-        call_.headers,
-        call_.body,
-        where->id(),
-        duration_cast<milliseconds>(call_.deadline - now),
+        call_.id,      call_.method,
+        call_.target,  call_.host,
+        call_.headers, call_.body,
+        where->id(),   duration_cast<milliseconds>(call_.deadline - now),
         last_event_};
     targets::attempt_order order;
     order.request = shared_.protocol.write(outgoing);
@@ -413,8 +408,6 @@
         under_way->cancel();
     answer_ = {};
     log_end(how);
-    if (auto hook = std::exchange(ended_hook_, nullptr))
-        hook();
 }
 
 void request::log_end(std::string_view how) const
--- a/src/online/request.hpp
+++ b/src/online/request.hpp
@@ -40,13 +40,12 @@
 
 /// One online request: its placement, its attempts one after the other, and
 /// the relay of the answer. One thread. Keeps itself alive until it has ended.
-class request : public boost::intrusive_ref_counter<
-                    request, boost::thread_unsafe_counter>
+class request
+    : public boost::intrusive_ref_counter<request, boost::thread_unsafe_counter>
 {
 public:
-    /// `shared` outlives the request. `ended` is called once at the end.
-    request(environment& shared, call what, answer_hooks answer,
-            std::function<void()> ended);
+    /// `shared` outlives the request. The hooks are dropped at its end.
+    request(environment& shared, call what, answer_hooks answer);
 
     request(const request&) = delete;
     request& operator=(const request&) = delete;
@@ -97,7 +96,6 @@
     environment& shared_;
     call call_;
     answer_hooks answer_;
-    std::function<void()> ended_hook_;
     boost::asio::steady_timer timer_;
     common::time_point timeout_at_;
     bool ended_ = false;
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -172,8 +172,7 @@
     LoadMessage message;
     const bool readable =
         message.ParseFromArray(in_.data(), static_cast<int>(n));
-    const auto peer =
-        readable ? peers_.find(message.member()) : peers_.end();
+    const auto peer = readable ? peers_.find(message.member()) : peers_.end();
     if (peer == peers_.end() || peer->second != sender_)
         return;
     if (!loads_.take(message, common::clock::now()))
--- a/src/peers/peer_loads.cpp
+++ b/src/peers/peer_loads.cpp
@@ -73,8 +73,10 @@
 {
     const auto own = rank(target, self);
     return static_cast<std::uint32_t>(std::ranges::count_if(
-        members_, [&](const auto& it)
-        { return it.second.waiting_items != 0 && rank(target, it.first) < own; }));
+        members_,
+        [&](const auto& it) {
+            return it.second.waiting_items != 0 && rank(target, it.first) < own;
+        }));
 }
 
 std::optional<common::time_point>
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -158,7 +158,8 @@
     std::vector<candidate> all;
     all.reserve(candidates.size());
     for (const auto* it : candidates)
-        all.push_back({static_cast<double>(it->total()) / it->slots, it->far, 1});
+        all.push_back(
+            {static_cast<double>(it->total()) / it->slots, it->far, 1});
     return baseline_.choose(all);
 }
 
--- a/src/state/config_state.hpp
+++ b/src/state/config_state.hpp
@@ -2,7 +2,7 @@
 #define TANAGERTRACK_STATE_CONFIG_STATE_HPP
 
 #include "config/ticket.hpp"
-#include "proto/records.pb.h"
+#include "proto/tickets.pb.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Submissions without a commit that are known. Part of the rules: the same in
+/// all readers.
+constexpr std::size_t max_intakes = 4096;
+
 /// Key of an intake.
 std::string intake_key(const std::string& job, const std::string& intake)
 {
@@ -33,27 +37,35 @@
 {
 }
 
-void job_table::apply(std::uint64_t offset, const jobs::JobRecord& record)
+void job_table::apply(std::uint64_t offset, const proto::JobRecord& record)
 {
     switch (record.kind_case())
     {
-    case jobs::JobRecord::kMemberStarted:
+    case proto::JobRecord::kMemberStarted:
         return apply_started(record.member_started());
-    case jobs::JobRecord::kMemberStopped:
+    case proto::JobRecord::kMemberStopped:
         return apply_stopped(record.member_stopped());
-    case jobs::JobRecord::kPart:
+    case proto::JobRecord::kPart:
         return apply_part(offset, record.part());
-    case jobs::JobRecord::kCommit:
+    case proto::JobRecord::kCommit:
         return apply_commit(offset, record.commit());
-    case jobs::JobRecord::kResults:
+    case proto::JobRecord::kResults:
         return apply_results(record.results());
-    case jobs::JobRecord::kEnd:
+    case proto::JobRecord::kEnd:
         return apply_end(record.end());
-    case jobs::JobRecord::kTaken:
+    case proto::JobRecord::kTaken:
         return apply_taken(record.taken());
-    case jobs::JobRecord::kProgress:
+    case proto::JobRecord::kProgress:
         return apply_progress(record.progress());
-    case jobs::JobRecord::KIND_NOT_SET:
+    case proto::JobRecord::kItemIntent:
+        return apply_item_intent(record.item_intent());
+    case proto::JobRecord::kCallIntent:
+        return apply_call_intent(record.call_intent());
+    case proto::JobRecord::kCallOutcome:
+        return apply_call_outcome(offset, record.call_outcome());
+    case proto::JobRecord::kCallForgotten:
+        return apply_call_forgotten(record.call_forgotten());
+    case proto::JobRecord::KIND_NOT_SET:
         return;
     }
 }
@@ -63,24 +75,38 @@
     jobs_.clear();
     accepted_.clear();
     intakes_.clear();
+    intake_order_.clear();
     waiting_.clear();
     members_.clear();
+    calls_.clear();
 }
 
-void job_table::apply_part(std::uint64_t offset, const jobs::JobPart& part)
+void job_table::apply_part(std::uint64_t offset, const proto::JobPart& part)
 {
-    auto& it = intakes_[intake_key(part.job(), part.intake())];
+    const auto key = intake_key(part.job(), part.intake());
+    const auto [at, fresh] = intakes_.try_emplace(key);
+    auto& it = at->second;
+    if (fresh)
+    {
+        // Submissions that were broken off make room for later ones.
+        intake_order_.push_back(key);
+        if (intake_order_.size() > max_intakes)
+        {
+            intakes_.erase(intake_order_.front());
+            intake_order_.pop_front();
+        }
+    }
     if (part.first_item() != it.items.size())
         return;
     it.parts.push_back({offset, part.first_item(),
                         static_cast<std::uint32_t>(part.items_size())});
     for (const auto& item : part.items())
         it.items.push_back(
-            {common::hash64(item.id()), item.tokens(), jobs::ITEM_OPEN, {}});
+            {common::hash64(item.id()), item.tokens(), proto::ITEM_OPEN, {}});
 }
 
 void job_table::apply_commit(std::uint64_t offset,
-                             const jobs::JobCommit& commit)
+                             const proto::JobCommit& commit)
 {
     const auto verdict = judge(commit);
     if (verdict == commit_verdict::accepted)
@@ -90,10 +116,14 @@
         hooks_.on_commit(commit, verdict);
 }
 
-commit_verdict job_table::judge(const jobs::JobCommit& commit) const
+commit_verdict job_table::judge(const proto::JobCommit& commit) const
 {
-    if (jobs_.contains(commit.job()))
-        return commit_verdict::repeated;
+    if (const auto* known = find(commit.job()))
+    {
+        const bool same = commit.content_hash().empty() ||
+                          commit.content_hash() == known->content_hash;
+        return same ? commit_verdict::repeated : commit_verdict::conflict;
+    }
     const auto it = intakes_.find(intake_key(commit.job(), commit.intake()));
     if (it == intakes_.end() || it->second.items.empty() ||
         it->second.items.size() != commit.item_count())
@@ -108,7 +138,7 @@
                                                 : commit_verdict::accepted;
 }
 
-void job_table::accept(std::uint64_t offset, const jobs::JobCommit& commit)
+void job_table::accept(std::uint64_t offset, const proto::JobCommit& commit)
 {
     auto& from = intakes_[intake_key(commit.job(), commit.intake())];
     auto& it = jobs_[commit.job()];
@@ -119,6 +149,9 @@
     it.accepted_at = offset;
     it.created_ms = commit.created_ms();
     it.due_after_ms = commit.due_after_ms();
+    it.keep_ms = commit.keep_ms();
+    it.team = commit.team();
+    it.content_hash = commit.content_hash();
     it.items = std::move(from.items);
     it.parts = std::move(from.parts);
     accepted_[offset] = it.id;
@@ -127,7 +160,7 @@
         waiting += item.tokens;
 }
 
-void job_table::apply_results(const jobs::ItemResults& results)
+void job_table::apply_results(const proto::ItemResults& results)
 {
     auto* it = find_mutable(results.job());
     if (it == nullptr)
@@ -135,14 +168,15 @@
     for (const auto& result : results.results())
     {
         const bool known = result.item() < it->items.size() &&
-                           result.state() != jobs::ITEM_OPEN;
-        if (!known || it->items[result.item()].state != jobs::ITEM_OPEN)
+                           result.state() != proto::ITEM_OPEN;
+        if (!known || it->items[result.item()].state != proto::ITEM_OPEN)
             continue;
         auto& item = it->items[result.item()];
         item.state = result.state();
         item.text = {result.text_partition(), result.text_offset()};
         it->results.push_back(result.item());
         it->progress.erase(result.item());
+        it->intents.erase(result.item());
         if (!it->ended)
             release_tokens(*it, item.tokens);
         if (hooks_.on_result)
@@ -150,14 +184,14 @@
     }
 }
 
-void job_table::apply_end(const jobs::JobEnd& end)
+void job_table::apply_end(const proto::JobEnd& end)
 {
     auto* it = find_mutable(end.job());
     if (it == nullptr || std::exchange(it->ended, true))
         return;
     for (const auto& item : it->items)
     {
-        if (item.state == jobs::ITEM_OPEN)
+        if (item.state == proto::ITEM_OPEN)
             release_tokens(*it, item.tokens);
     }
     it->progress.clear();
@@ -165,7 +199,7 @@
         hooks_.on_ended(*it);
 }
 
-void job_table::apply_taken(const jobs::JobTaken& taken)
+void job_table::apply_taken(const proto::JobTaken& taken)
 {
     auto* it = find_mutable(taken.job());
     if (it == nullptr || it->runner != taken.from())
@@ -175,11 +209,11 @@
         hooks_.on_taken(*it, taken.from());
 }
 
-void job_table::apply_progress(const jobs::ItemProgress& progress)
+void job_table::apply_progress(const proto::ItemProgress& progress)
 {
     auto* it = find_mutable(progress.job());
     if (it == nullptr || it->ended || progress.item() >= it->items.size() ||
-        it->items[progress.item()].state != jobs::ITEM_OPEN)
+        it->items[progress.item()].state != proto::ITEM_OPEN)
         return;
     it->progress[progress.item()] = {
         progress.last_event(),
@@ -187,7 +221,70 @@
         progress.failures()};
 }
 
-void job_table::apply_started(const jobs::MemberStarted& started)
+void job_table::apply_item_intent(const proto::ItemIntent& intent)
+{
+    const auto verdict = judge_item_intent(intent);
+    if (hooks_.on_item_intent)
+        hooks_.on_item_intent(intent, verdict);
+}
+
+intent_verdict job_table::judge_item_intent(const proto::ItemIntent& intent)
+{
+    auto* it = find_mutable(intent.job());
+    const bool open = it != nullptr && !it->ended &&
+                      intent.item() < it->items.size() &&
+                      it->items[intent.item()].state == proto::ITEM_OPEN;
+    if (!open)
+        return intent_verdict::void_item;
+    const bool first =
+        it->intents.emplace(intent.item(), intent.member()).second;
+    return first ? intent_verdict::first : intent_verdict::repeated;
+}
+
+void job_table::apply_call_intent(const proto::CallIntent& intent)
+{
+    const auto [at, first] = calls_.try_emplace(intent.call());
+    auto& it = at->second;
+    auto verdict = intent_verdict::repeated;
+    if (first)
+    {
+        it.content_hash = intent.content_hash();
+        it.member = intent.member();
+        it.attempt = intent.attempt();
+        it.created_ms = intent.created_ms();
+        verdict = intent_verdict::first;
+    }
+    else if (it.content_hash != intent.content_hash())
+        verdict = intent_verdict::conflict;
+    if (hooks_.on_call_intent)
+        hooks_.on_call_intent(intent, verdict);
+}
+
+void job_table::apply_call_outcome(std::uint64_t offset,
+                                   const proto::CallOutcome& outcome)
+{
+    const auto it = calls_.find(outcome.call());
+    if (it == calls_.end() || it->second.outcome_at)
+        return;
+    it->second.outcome_at = offset;
+    if (hooks_.on_call_ended)
+        hooks_.on_call_ended(outcome.call());
+}
+
+void job_table::apply_call_forgotten(const proto::CallForgotten& forgotten)
+{
+    const auto it = calls_.find(forgotten.call());
+    const bool own = it != calls_.end() &&
+                     it->second.attempt == forgotten.attempt() &&
+                     !it->second.outcome_at;
+    if (!own)
+        return;
+    calls_.erase(it);
+    if (hooks_.on_call_ended)
+        hooks_.on_call_ended(forgotten.call());
+}
+
+void job_table::apply_started(const proto::MemberStarted& started)
 {
     for (auto& [id, it] : members_)
     {
@@ -207,7 +304,7 @@
         hooks_.on_member(it);
 }
 
-void job_table::apply_stopped(const jobs::MemberStopped& stopped)
+void job_table::apply_stopped(const proto::MemberStopped& stopped)
 {
     const auto it = members_.find(stopped.member());
     if (it == members_.end() || std::exchange(it->second.gone, true))
@@ -263,6 +360,25 @@
     }
 }
 
+const once_call* job_table::find_call(std::string_view id) const
+{
+    const auto it = calls_.find(id);
+    return it == calls_.end() ? nullptr : &it->second;
+}
+
+void job_table::for_each_call(
+    const std::function<void(const std::string& id, const once_call&)>& visit)
+    const
+{
+    for (const auto& [id, it] : calls_)
+        visit(id, it);
+}
+
+void job_table::forget_call(const std::string& id)
+{
+    calls_.erase(id);
+}
+
 void job_table::forget(const std::string& id)
 {
     const auto it = jobs_.find(id);
@@ -272,7 +388,7 @@
     {
         for (const auto& item : it->second.items)
         {
-            if (item.state == jobs::ITEM_OPEN)
+            if (item.state == proto::ITEM_OPEN)
                 release_tokens(it->second, item.tokens);
         }
     }
--- a/src/state/job_table.hpp
+++ b/src/state/job_table.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -38,12 +39,26 @@
     /// Hash of the item's id.
     std::uint64_t id_hash = 0;
     std::uint32_t tokens = 0;
-    jobs::ItemState state = jobs::ITEM_OPEN;
+    proto::ItemState state = proto::ITEM_OPEN;
 
     /// Where the result is, once the item is not open.
     text_location text;
 };
 
+/// An online call that may not be repeated.
+struct once_call
+{
+    std::string content_hash;
+
+    /// Process and request that may run it.
+    std::string member;
+    std::string attempt;
+
+    /// Offset of the outcome's record; nothing while there is none.
+    std::optional<std::uint64_t> outcome_at;
+    std::uint64_t created_ms = 0;
+};
+
 /// Records of consecutive items of a job.
 struct job_part
 {
@@ -58,6 +73,8 @@
     std::string id;
     std::string route;
     std::string host;
+    std::string team;
+    std::string content_hash;
 
     /// Process that runs the job.
     std::string runner;
@@ -66,6 +83,9 @@
     std::uint64_t accepted_at = 0;
     std::uint64_t created_ms = 0;
     std::uint32_t due_after_ms = 0;
+
+    /// Time for which the results stay readable.
+    std::uint64_t keep_ms = 0;
     std::vector<job_item> items;
     std::vector<job_part> parts;
 
@@ -73,6 +93,9 @@
     std::vector<std::uint32_t> results;
     std::map<std::uint32_t, item_progress> progress;
 
+    /// Processes that may have run an item that may not be repeated.
+    std::map<std::uint32_t, std::string> intents;
+
     /// The caller does not want the open items any more.
     bool ended = false;
 
@@ -106,6 +129,9 @@
     /// The job was accepted before.
     repeated,
 
+    /// A job of this id was accepted before with other content.
+    conflict,
+
     /// Too many tokens of the route wait.
     over_limit,
 
@@ -113,10 +139,26 @@
     incomplete
 };
 
+/// What became of an intent to run something that may not be repeated.
+enum class intent_verdict : std::uint8_t
+{
+    /// It is the first one: its process may run the work, once.
+    first,
+
+    /// There is an earlier one: the work may have run.
+    repeated,
+
+    /// The call's earlier intent has another content.
+    conflict,
+
+    /// The item has ended, or its job has, or there is none.
+    void_item
+};
+
 /// Told by `job_table::apply` after the state has changed.
 struct job_table_hooks
 {
-    std::function<void(const jobs::JobCommit&, commit_verdict)> on_commit;
+    std::function<void(const proto::JobCommit&, commit_verdict)> on_commit;
 
     /// The first end of an item was read.
     std::function<void(const batch_job&, std::uint32_t item)> on_result;
@@ -125,6 +167,13 @@
     /// Another process runs the job now.
     std::function<void(const batch_job&, const std::string& from)> on_taken;
     std::function<void(const batch_member&)> on_member;
+    std::function<void(const proto::ItemIntent&, intent_verdict)>
+        on_item_intent;
+    std::function<void(const proto::CallIntent&, intent_verdict)>
+        on_call_intent;
+
+    /// The outcome of a call was read, or that it did not run.
+    std::function<void(const std::string& call)> on_call_ended;
 };
 
 /// All batch jobs: the fold of the topic "jobs". A function of the records
@@ -137,9 +186,12 @@
 /// - Tokens of an item wait until the item has ended or its job was ended.
 /// - The first end of an item counts; its position is the number of ends of
 ///   the job before it. Ends after the job's own end count too.
+/// - The first intent of an item or call counts; it is never undone but for a
+///   call that its own request reports as not run.
 /// - A job is taken only from the process that runs it.
 /// - A start of a process makes others of its host gone. A process that finds
 ///   itself gone, by a late write of an earlier one, starts again.
+/// - Of the submissions without a commit, the last ones are kept.
 /// - Records that can't be read, or that speak of unknown jobs, are skipped.
 class job_table
 {
@@ -147,7 +199,7 @@
     explicit job_table(job_table_hooks hooks);
 
     /// Applies the record at `offset`.
-    void apply(std::uint64_t offset, const jobs::JobRecord& record);
+    void apply(std::uint64_t offset, const proto::JobRecord& record);
 
     /// Drops everything: records were lost before they were read.
     void clear();
@@ -174,6 +226,17 @@
     void for_each_member(
         const std::function<void(const batch_member&)>& visit) const;
 
+    /// Call of an id; null if there is none.
+    const once_call* find_call(std::string_view id) const;
+
+    /// Calls `visit` with each call.
+    void for_each_call(
+        const std::function<void(const std::string& id, const once_call&)>&
+            visit) const;
+
+    /// Forgets a call. Only to be called for one that is not asked for again.
+    void forget_call(const std::string& id);
+
     /// Forgets a job whose results need not be kept any more. Only to be
     /// called for jobs that no record will speak of.
     void forget(const std::string& id);
@@ -186,16 +249,22 @@
         std::vector<job_item> items;
     };
 
-    void apply_part(std::uint64_t offset, const jobs::JobPart& part);
-    void apply_commit(std::uint64_t offset, const jobs::JobCommit& commit);
-    commit_verdict judge(const jobs::JobCommit& commit) const;
-    void accept(std::uint64_t offset, const jobs::JobCommit& commit);
-    void apply_results(const jobs::ItemResults& results);
-    void apply_end(const jobs::JobEnd& end);
-    void apply_taken(const jobs::JobTaken& taken);
-    void apply_progress(const jobs::ItemProgress& progress);
-    void apply_started(const jobs::MemberStarted& started);
-    void apply_stopped(const jobs::MemberStopped& stopped);
+    void apply_part(std::uint64_t offset, const proto::JobPart& part);
+    void apply_commit(std::uint64_t offset, const proto::JobCommit& commit);
+    commit_verdict judge(const proto::JobCommit& commit) const;
+    void accept(std::uint64_t offset, const proto::JobCommit& commit);
+    void apply_results(const proto::ItemResults& results);
+    void apply_end(const proto::JobEnd& end);
+    void apply_taken(const proto::JobTaken& taken);
+    void apply_progress(const proto::ItemProgress& progress);
+    void apply_item_intent(const proto::ItemIntent& intent);
+    intent_verdict judge_item_intent(const proto::ItemIntent& intent);
+    void apply_call_intent(const proto::CallIntent& intent);
+    void apply_call_outcome(std::uint64_t offset,
+                            const proto::CallOutcome& outcome);
+    void apply_call_forgotten(const proto::CallForgotten& forgotten);
+    void apply_started(const proto::MemberStarted& started);
+    void apply_stopped(const proto::MemberStopped& stopped);
     void release_tokens(const batch_job& job, std::uint64_t tokens);
     batch_job* find_mutable(std::string_view id);
 
@@ -205,8 +274,10 @@
     /// Ids by the offset of acceptance.
     std::map<std::uint64_t, std::string> accepted_;
     std::map<std::string, intake, std::less<>> intakes_;
+    std::deque<std::string> intake_order_;
     std::map<std::string, std::uint64_t, std::less<>> waiting_;
     std::map<std::string, batch_member, std::less<>> members_;
+    std::map<std::string, once_call, std::less<>> calls_;
 };
 
 } // namespace tanagertrack::state
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -98,9 +98,9 @@
             bytes.empty() ? 0 : static_cast<unsigned char>(bytes.front());
         if (bytes.size() < 1 + n)
         {
-            common::log_warning("keyed_record_skipped",
-                                {{"topic", what_.topic},
-                                 {"bytes", bytes.size()}});
+            common::log_warning(
+                "keyed_record_skipped",
+                {{"topic", what_.topic}, {"bytes", bytes.size()}});
             continue;
         }
         const std::string key(bytes.substr(1, n));
--- a/src/store/partition_follower.cpp
+++ b/src/store/partition_follower.cpp
@@ -60,9 +60,8 @@
     call.offset = next_;
     call.max_bytes = settings_.max_bytes;
     call.wait = settings_.wait;
-    service_.read(call,
-                  [self = shared_from_this(), run = run_, now,
-                   offset = next_](const read_result& result)
+    service_.read(call, [self = shared_from_this(), run = run_, now,
+                         offset = next_](const read_result& result)
                   { self->take(run, now, offset, result); });
 }
 
@@ -155,10 +154,9 @@
     call.from = what_;
     call.offset = next_;
     call.max_bytes = settings_.max_bytes;
-    service_.read(call,
-                  [self = shared_from_this(), run = run_,
-                   now = common::clock::now(),
-                   offset = next_](const read_result& result)
+    service_.read(call, [self = shared_from_this(), run = run_,
+                         now = common::clock::now(),
+                         offset = next_](const read_result& result)
                   { self->take_confirmation(run, now, offset, result); });
 }
 
--- a/src/store/partition_writer.cpp
+++ b/src/store/partition_writer.cpp
@@ -26,8 +26,9 @@
                                    store_service service, partition_ref to,
                                    std::string producer,
                                    writer_settings settings)
-    : service_(std::move(service)), to_(std::move(to)),
-      stamp_{std::move(producer), 1, 0}, settings_(settings),
+    : service_(std::move(service)),
+      to_(std::move(to)), stamp_{std::move(producer), 1, 0},
+      settings_(settings),
       backoff_(settings.retry, common::hash64(common::random_id())),
       timer_(context)
 {
--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -1,8 +1,10 @@
-#include "agent/agent_process.hpp"
+#include "api/api_edge.hpp"
 #include "common/logging.hpp"
 #include "config/settings.hpp"
 #include "entry/entry_process.hpp"
-#include "platform/platform_entry.hpp"
+#include "platform/engine_protocol.hpp"
+#include "platform/platform_edge.hpp"
+#include "platform/store_client.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -34,10 +36,40 @@
     return file.good();
 }
 
+/// Client of the store, and protocol of the targets: the same in all
+/// deployments.
+entry::core_parts make_core_parts(const config::settings& settings,
+                                  boost::asio::io_context& context,
+                                  common::metrics_registry& metrics)
+{
+    platform::store_client_settings client;
+    client.address = settings.platform.store;
+    client.call_timeout = settings.store.call_timeout;
+    entry::core_parts parts;
+    parts.store = platform::make_store_client(context, client, metrics);
+    parts.protocol = platform::make_engine_protocol();
+    parts.judge_failure = settings.callers == "platform"
+                              ? platform::judge_failure
+                              : api::judge_failure;
+    return parts;
+}
+
+entry::process_parts make_parts(const config::settings& settings)
+{
+    entry::process_parts parts;
+    parts.make_core_parts = [&settings](auto& context, auto& metrics)
+    {
+        return make_core_parts(settings, context, metrics);
+    };
+    parts.make_edge = settings.callers == "platform"
+                          ? platform::make_platform_edge
+                          : api::make_api_edge;
+    return parts;
+}
+
 int run(int argc, char** argv)
 {
-    TCLAP::CmdLine cmd("tanagertrack daemon: serves callers (role entry) or "
-                       "one target (role agent).",
+    TCLAP::CmdLine cmd("tanagertrack daemon: an entry, which serves callers.",
                        ' ', "0.1.0");
     TCLAP::SwitchArg check("", "check-settings",
                            "check the settings file and exit", cmd);
@@ -70,11 +102,7 @@
         std::cout << file.getValue() << ": accepted\n";
         return exit_ok;
     }
-    if (settings.callers == "platform")
-        return platform::platform_entry(settings).run();
-    if (settings.role == "entry")
-        return entry::entry_process(settings).run();
-    return agent::agent_process(std::move(settings)).run();
+    return entry::entry_process(settings, make_parts(settings)).run();
 }
 
 } // namespace
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -32,8 +32,8 @@
                  attempt_order order, attempt_hooks hooks)
     : protocol_(protocol), where_(std::move(where)), order_(std::move(order)),
       hooks_(std::move(hooks)),
-      splitter_(max_event_bytes, [this](const http::stream_event& event)
-                { take_event(event); }),
+      splitter_(max_event_bytes,
+                [this](const http::stream_event& event) { take_event(event); }),
       last_event_(order_.after_event)
 {
 }
@@ -50,10 +50,10 @@
     where_->add_request(order_.work);
     started_at_ = common::clock::now();
     last_progress_ = started_at_;
-    where_->connect(order_.max_rest,
-                    [self = attempt_ptr(this)](std::error_code ec,
-                                               taken_connection taken)
-                    { self->connected(ec, std::move(taken)); });
+    where_->connect(
+        order_.max_rest,
+        [self = attempt_ptr(this)](std::error_code ec, taken_connection taken)
+        { self->connected(ec, std::move(taken)); });
 }
 
 void attempt::connected(std::error_code ec, taken_connection taken)
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -85,8 +85,8 @@
 
 /// One try of a request on one target. Counts in the target's load while it
 /// is under way. One thread.
-class attempt : public boost::intrusive_ref_counter<
-                    attempt, boost::thread_unsafe_counter>
+class attempt
+    : public boost::intrusive_ref_counter<attempt, boost::thread_unsafe_counter>
 {
 public:
     /// `protocol` outlives the attempt.
--- a/src/targets/target.cpp
+++ b/src/targets/target.cpp
@@ -58,8 +58,10 @@
     ++connections_made_;
     http::client_connection_ptr it(
         new http::client_connection(context_, http::client_settings()));
-    it->connect(announced_.address, [it, handler](std::error_code ec)
-                { handler(ec, {it, false}); });
+    it->connect(announced_.address,
+                [it, handler](std::error_code ec) {
+                    handler(ec, {it, false});
+                });
 }
 
 void target::keep(const http::client_connection_ptr& connection)
@@ -70,8 +72,10 @@
     auto* raw = connection.get();
     connection->on_idle_end(
         [self = target_ptr(this), raw]
-        { std::erase_if(self->resting_, [raw](const auto& it)
-                        { return it.get() == raw; }); });
+        {
+            std::erase_if(self->resting_,
+                          [raw](const auto& it) { return it.get() == raw; });
+        });
     resting_.push_back(connection);
 }
 
--- a/src/targets/target.hpp
+++ b/src/targets/target.hpp
@@ -29,8 +29,8 @@
 
 /// One target: its announcement, its load, and the connections to it that
 /// rest between requests. One thread.
-class target : public boost::intrusive_ref_counter<
-                   target, boost::thread_unsafe_counter>
+class target
+    : public boost::intrusive_ref_counter<target, boost::thread_unsafe_counter>
 {
 public:
     /// `id` is the target's own name. `load_changed` is called whenever a
@@ -63,9 +63,9 @@
 
     /// Gives a connection that rested at most `max_rest`, or a new one. The
     /// handler may be called at once.
-    void connect(std::chrono::milliseconds max_rest,
-                 const std::function<void(std::error_code, taken_connection)>&
-                     handler);
+    void connect(
+        std::chrono::milliseconds max_rest,
+        const std::function<void(std::error_code, taken_connection)>& handler);
 
     /// Takes a connection back. One that can't be used again is closed.
     void keep(const http::client_connection_ptr& connection);
--- a/src/targets/target_set.cpp
+++ b/src/targets/target_set.cpp
@@ -21,14 +21,15 @@
     {
         const auto& known = found->second->announced();
         if (known.started_ms == value.started_ms &&
-            known.address == value.address && known.service == value.service)
+            known.address == value.address && known.services == value.services)
             return found->second->set_announced(value);
         remove(id);
     }
     target_ptr it(new target(context_, id, value, load_changed_));
     it->load.far = distance_to(value.data_centre);
     by_id_[id] = it;
-    by_service_[value.service].push_back(it);
+    for (const auto& service : value.services)
+        by_service_[service].push_back(it);
 }
 
 void target_set::remove(const std::string& id)
@@ -38,7 +39,8 @@
         return;
     const auto it = found->second;
     by_id_.erase(found);
-    std::erase(by_service_[it->announced().service], it);
+    for (const auto& service : it->announced().services)
+        std::erase(by_service_[service], it);
     it->depart();
 }
 
@@ -68,12 +70,10 @@
     return found == place_.regions.end() ? place_.region : found->second;
 }
 
-routing::distance
-target_set::distance_to(const std::string& data_centre) const
+routing::distance target_set::distance_to(const std::string& data_centre) const
 {
-    return routing::distance_between(
-        {place_.data_centre, place_.region},
-        {data_centre, region_of(data_centre)});
+    return routing::distance_between({place_.data_centre, place_.region},
+                                     {data_centre, region_of(data_centre)});
 }
 
 } // namespace tanagertrack::targets
--- a/test/entry/main.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE entry
-#include <boost/test/unit_test.hpp>
