--- a/test/integration/test_online.cpp
+++ b/test/integration/test_online.cpp
@@ -73,7 +73,6 @@
     const auto first = call_until_run(it, 1, manifest("key-1"));
     BOOST_TEST(first.status >= 500);
     BOOST_TEST(execution_of(first) == "may_have_run");
-    // Entry 2 may not know the holder yet and then rejects the resend itself.
     const auto second = call_until_run(it, 2, manifest("key-1"));
     BOOST_TEST(second.status >= 500);
     BOOST_TEST(execution_of(second) == "may_have_run");
--- a/test/standin/http_exchange.hpp
+++ b/test/standin/http_exchange.hpp
@@ -36,6 +36,9 @@
     /// Number in the query; `fallback` when it is missing or malformed.
     std::uint64_t query(std::string_view name, std::uint64_t fallback) const;
 
+    /// Text in the query; empty when it is missing.
+    std::string query_text(std::string_view name) const;
+
     /// Value of a header field; empty when it is missing.
     std::string header(std::string_view name) const;
 
