--- /dev/null
+++ b/test/support/scripted_server.hpp
@@ -0,0 +1,204 @@
+#ifndef TANAGERTRACK_TEST_SUPPORT_SCRIPTED_SERVER_HPP
+#define TANAGERTRACK_TEST_SUPPORT_SCRIPTED_SERVER_HPP
+
+#include "common/endpoint.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace tanagertrack::test
+{
+
+/// What a scripted server does with one request.
+struct scripted_answer
+{
+    /// Bytes that are sent as they are.
+    std::string bytes;
+
+    /// Whether the connection is closed after them.
+    bool closes = false;
+};
+
+/// A server on a loopback port that answers each request, in the order of
+/// arrival over all connections, with given bytes. Runs on the caller's
+/// context.
+class scripted_server
+{
+public:
+    explicit scripted_server(boost::asio::io_context& context)
+        : acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        accept();
+    }
+
+    common::endpoint address() const
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+    /// Adds the answer to the next request without one.
+    void add(std::string bytes, bool closes = false)
+    {
+        answers_.push_back({std::move(bytes), closes});
+    }
+
+    /// Makes the answer to a request; used when the script is empty.
+    std::function<scripted_answer(const std::string& request)> make_answer;
+
+    /// Sends more bytes on all connections.
+    void send_all(const std::string& bytes)
+    {
+        for (const auto& it : connections_)
+            boost::asio::write(it->socket, boost::asio::buffer(bytes));
+    }
+
+    /// Closes all connections.
+    void close_all()
+    {
+        for (const auto& it : connections_)
+        {
+            boost::system::error_code ignored;
+            it->socket.close(ignored);
+        }
+        connections_.clear();
+    }
+
+    /// Accepts no connection any more.
+    void stop()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        close_all();
+    }
+
+    /// Heads of the requests that came.
+    std::deque<std::string> requests;
+
+    /// Connections that were accepted, and those that the client closed.
+    std::size_t accepted = 0;
+    std::size_t closed = 0;
+
+private:
+    struct connection
+    {
+        explicit connection(boost::asio::ip::tcp::socket it)
+            : socket(std::move(it))
+        {
+        }
+
+        boost::asio::ip::tcp::socket socket;
+        std::string buf;
+    };
+
+    using connection_ptr = std::shared_ptr<connection>;
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](const auto& ec, boost::asio::ip::tcp::socket socket)
+            {
+                if (ec)
+                    return;
+                ++accepted;
+                connections_.push_back(
+                    std::make_shared<connection>(std::move(socket)));
+                read(connections_.back());
+                accept();
+            });
+    }
+
+    void read(const connection_ptr& it)
+    {
+        boost::asio::async_read_until(
+            it->socket, boost::asio::dynamic_buffer(it->buf), "\r\n\r\n",
+            [this, it](const auto& ec, std::size_t n)
+            {
+                if (ec)
+                {
+                    ++closed;
+                    connections_.remove(it);
+                    return;
+                }
+                requests.push_back(it->buf.substr(0, n));
+                it->buf.erase(0, n + body_length(requests.back()));
+                respond(it);
+            });
+    }
+
+    void respond(const connection_ptr& it)
+    {
+        scripted_answer answer;
+        if (!answers_.empty())
+        {
+            answer = answers_.front();
+            answers_.pop_front();
+        }
+        else if (make_answer)
+            answer = make_answer(requests.back());
+        boost::asio::write(it->socket, boost::asio::buffer(answer.bytes));
+        if (!answer.closes)
+            return read(it);
+        boost::system::error_code ignored;
+        it->socket.shutdown(boost::asio::socket_base::shutdown_both, ignored);
+        it->socket.close(ignored);
+        connections_.remove(it);
+    }
+
+    static std::size_t body_length(const std::string& head)
+    {
+        constexpr std::string_view name = "Content-Length: ";
+        const auto at = head.find(name);
+        return at == std::string::npos
+                   ? 0
+                   : std::stoul(head.substr(at + name.size()));
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::deque<scripted_answer> answers_;
+    std::list<connection_ptr> connections_;
+};
+
+/// One HTTP answer with a length.
+inline std::string whole_answer(unsigned status, const std::string& body,
+                                const std::string& headers = {})
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Head of a chunked answer.
+inline std::string chunked_head(unsigned status,
+                                const std::string& headers = {})
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// One chunk; an empty one ends the answer.
+inline std::string chunk(const std::string& data)
+{
+    char length[32];
+    std::snprintf(length, sizeof(length), "%zx\r\n", data.size());
+    return length + data + "\r\n";
+}
+
+/// A numbered event.
+inline std::string event(unsigned id, const std::string& data)
+{
+    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+}
+
+} // namespace tanagertrack::test
+
+#endif
--- /dev/null
+++ b/test/targets/test_attempt.cpp
@@ -0,0 +1,263 @@
+#include "support/event_loop.hpp"
+#include "support/scripted_server.hpp"
+#include "support/test_protocol.hpp"
+#include "targets/attempt.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace tanagertrack;
+using namespace tanagertrack::test;
+using namespace std::chrono_literals;
+using outcome = targets::attempt_end::outcome;
+
+namespace
+{
+
+/// A target behind a scripted server.
+struct fixture
+{
+    fixture()
+        : where(new targets::target(context, "t",
+                                    make_announcement(server.address()),
+                                    no_hook))
+    {
+    }
+
+    ~fixture()
+    {
+        where->depart();
+        server.stop();
+        run_ready(context);
+    }
+
+    targets::attempt_ptr start(const std::string& id, bool events = false,
+                               std::optional<std::uint64_t> after = {},
+                               std::chrono::milliseconds max_rest = 1h)
+    {
+        const http::header_list none;
+        targets::attempt_order order;
+        order.request = protocol.write(
+            {id, "POST", "/x", "h", none, "body", "t", 100ms, after});
+        order.request_id = id;
+        order.events = events;
+        order.after_event = after;
+        order.max_rest = max_rest;
+        end.reset();
+        body.clear();
+        targets::attempt_hooks hooks;
+        hooks.on_piece = [this](std::string_view piece, auto number)
+        {
+            body += piece;
+            if (number)
+                numbers.push_back(*number);
+        };
+        hooks.on_end = [this](const targets::attempt_end& it)
+        {
+            BOOST_TEST(!end.has_value());
+            end = it;
+        };
+        targets::attempt_ptr it(new targets::attempt(
+            protocol, where, std::move(order), std::move(hooks)));
+        it->start();
+        return it;
+    }
+
+    targets::attempt_end run(const std::string& id, bool events = false,
+                             std::optional<std::uint64_t> after = {},
+                             std::chrono::milliseconds max_rest = 1h)
+    {
+        const auto it = start(id, events, after, max_rest);
+        BOOST_REQUIRE(run_until(context, [&] { return end.has_value(); }));
+        return *end;
+    }
+
+    const std::function<void()> no_hook = []
+    {
+    };
+    boost::asio::io_context context;
+    scripted_server server{context};
+    targets::target_protocol protocol = make_test_protocol();
+    targets::target_ptr where;
+    std::optional<targets::attempt_end> end;
+    std::string body;
+    std::vector<std::uint64_t> numbers;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(attempt, fixture)
+
+BOOST_AUTO_TEST_CASE(whole_answer_is_given_on)
+{
+    server.add(whole_answer(200, "hello", answers_to("a")));
+    const auto it = run("a");
+    BOOST_TEST((it.what == outcome::complete));
+    BOOST_TEST(it.status == 200);
+    BOOST_TEST(body == "hello");
+    BOOST_TEST(where->load.own_online == 0);
+    BOOST_TEST(where->resting() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(connections_are_used_again)
+{
+    for (int n = 0; n < 5; ++n)
+    {
+        server.add(whole_answer(200, "x", answers_to("a")));
+        run("a");
+    }
+    BOOST_TEST(server.accepted == 1);
+}
+
+// The target could close a connection that rested as the request comes.
+BOOST_AUTO_TEST_CASE(request_that_may_not_be_repeated_gets_a_new_connection)
+{
+    server.add(whole_answer(200, "x", answers_to("a")));
+    server.add(whole_answer(200, "x", answers_to("b")));
+    run("a");
+    run("b", false, {}, 0ms);
+    BOOST_TEST(server.accepted == 2);
+}
+
+BOOST_AUTO_TEST_CASE(refusal_says_not_run)
+{
+    server.add(whole_answer(503, "full", answers_to("a") + "Not-Run: 1\r\n"));
+    const auto it = run("a");
+    BOOST_TEST((it.what == outcome::not_run));
+    BOOST_TEST(body.empty());
+}
+
+// Guards against an answer that is given to another caller.
+BOOST_AUTO_TEST_CASE(answer_of_another_request_is_no_answer)
+{
+    server.add(whole_answer(200, "theirs", answers_to("other")));
+    const auto it = run("a");
+    BOOST_TEST((it.what == outcome::failed));
+    BOOST_TEST(body.empty());
+    BOOST_TEST(where->resting() == 0);
+}
+
+// A second answer after a complete one belongs to nobody; the connection that
+// it came on is not used any more.
+BOOST_AUTO_TEST_CASE(extra_answer_ends_the_connection)
+{
+    server.add(whole_answer(200, "mine", answers_to("a")) +
+               whole_answer(200, "extra", answers_to("a")));
+    const auto it = run("a");
+    BOOST_TEST((it.what == outcome::complete));
+    BOOST_TEST(body == "mine");
+    BOOST_TEST(where->resting() == 0);
+
+    server.add(whole_answer(200, "mine", answers_to("b")));
+    run("b");
+    BOOST_TEST(where->resting() == 1);
+    server.send_all(whole_answer(200, "late", answers_to("b")));
+    BOOST_TEST(run_until(context, [&] { return where->resting() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(cut_answer_is_not_complete)
+{
+    auto answer = whole_answer(200, "hello", answers_to("a"));
+    answer.resize(answer.size() - 2);
+    server.add(answer, true);
+    BOOST_TEST((run("a").what == outcome::failed));
+
+    server.add(chunked_head(200, answers_to("b")) + chunk("half"), true);
+    BOOST_TEST((run("b").what == outcome::failed));
+
+    server.add({}, true);
+    BOOST_TEST((run("c").what == outcome::failed));
+}
+
+// An answer without a length ends with its connection.
+BOOST_AUTO_TEST_CASE(answer_without_a_length_ends_with_its_connection)
+{
+    server.add("HTTP/1.1 200 X\r\n" + answers_to("a") + "\r\nall of it", true);
+    const auto it = run("a");
+    BOOST_TEST((it.what == outcome::complete));
+    BOOST_TEST(body == "all of it");
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_answer_fail)
+{
+    server.add("\x01\x02garbage\r\n\r\n", true);
+    BOOST_TEST((run("a").what == outcome::failed));
+}
+
+BOOST_AUTO_TEST_CASE(events_are_given_on_whole)
+{
+    const auto all = event(1, "one") + event(2, "two\ndata: more");
+    server.add(chunked_head(200, answers_to("a")) + chunk(all.substr(0, 5)) +
+               chunk(all.substr(5, 12)) + chunk(all.substr(17)) + chunk(""));
+    const auto it = run("a", true);
+    BOOST_TEST((it.what == outcome::complete));
+    BOOST_TEST(body == all);
+    BOOST_TEST((numbers == std::vector<std::uint64_t>{1, 2}));
+}
+
+// Guards against a resumed stream with part of an event in it.
+BOOST_AUTO_TEST_CASE(half_event_is_not_given_on)
+{
+    server.add(chunked_head(200, answers_to("a")) + chunk(event(1, "one")) +
+                   chunk("id: 2\ndata: tw"),
+               true);
+    const auto it = run("a", true);
+    BOOST_TEST((it.what == outcome::failed));
+    BOOST_TEST(body == event(1, "one"));
+
+    // The stream ends in form, but within an event.
+    server.add(chunked_head(200, answers_to("b")) + chunk(event(1, "one")) +
+               chunk("id: 2\ndata: tw") + chunk(""));
+    BOOST_TEST((run("b", true).what == outcome::failed));
+}
+
+// Guards against a joined stream with a gap or a repeated event.
+BOOST_AUTO_TEST_CASE(event_out_of_order_fails)
+{
+    server.add(chunked_head(200, answers_to("a")) + chunk(event(7, "x")) +
+               chunk(""));
+    BOOST_TEST((run("a", true, 5).what == outcome::failed));
+    BOOST_TEST(body.empty());
+
+    server.add(chunked_head(200, answers_to("b")) + chunk(event(6, "x")) +
+               chunk(event(6, "x")) + chunk(""));
+    BOOST_TEST((run("b", true, 5).what == outcome::failed));
+    BOOST_TEST(body == event(6, "x"));
+}
+
+BOOST_AUTO_TEST_CASE(refused_connection_was_not_run_and_is_avoided)
+{
+    server.stop();
+    const auto it = run("a");
+    BOOST_TEST((it.what == outcome::not_run));
+    BOOST_TEST((where->load.avoided_until > common::clock::now()));
+}
+
+// The target drops a request when its connection closes.
+BOOST_AUTO_TEST_CASE(cancel_closes_the_connection)
+{
+    server.add(chunked_head(200, answers_to("a")) + chunk(event(1, "one")));
+    const auto it = start("a", true);
+    BOOST_TEST(run_until(context, [&] { return !body.empty(); }));
+    BOOST_TEST(where->load.own_online == 1);
+    it->cancel();
+    BOOST_TEST(where->load.own_online == 0);
+    BOOST_TEST(run_until(context, [&] { return server.closed == 1; }));
+    BOOST_TEST(!end.has_value());
+}
+
+// An early answer leaves bytes of the request that the target may still read.
+BOOST_AUTO_TEST_CASE(connection_closes_after_an_interim_and_final_answer)
+{
+    server.add("HTTP/1.1 100 Continue\r\n\r\n" +
+               whole_answer(200, "ok", answers_to("a") +
+                                           "Connection: close\r\n"));
+    BOOST_TEST((run("a").what == outcome::complete));
+    BOOST_TEST(body == "ok");
+    BOOST_TEST(where->resting() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
