Watch the pauses of a stream from its first event on

The timer of a stream was armed once, for the patience before the first event (700 ms), and looked at pauses only when it fired: a stream that fell silent right after its first event went on elsewhere after 700 ms instead of 0.6 of the longest pause that its callers want.

--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -29,6 +29,14 @@
     return duration_cast<milliseconds>(to - from).count();
 }
 
+/// Age of a target's report; -1 if there is none.
+std::int64_t report_age_ms(const routing::load_report& report,
+                           common::time_point now)
+{
+    const bool known = report.taken != common::time_point();
+    return known ? ms_between(report.taken, now) : -1;
+}
+
 } // namespace
 
 request::request(environment& shared, call what, answer_hooks answer)
@@ -115,7 +123,7 @@
          {"batch", where->load.batch()},
          {"slots", where->load.slots},
          {"slowdown", where->load.reported.slowdown},
-         {"report_age_ms", ms_between(where->load.reported.taken, now)}});
+         {"report_age_ms", report_age_ms(where->load.reported, now)}});
 
     const targets::outgoing_request outgoing{
         call_.id,      call_.method,
@@ -176,14 +184,19 @@
     {
         last_event_ = event;
         ++events_;
-        if (!first_event_at_)
-            first_event_at_ = common::clock::now();
     }
+    const bool first_event = event && !first_event_at_;
+    if (first_event)
+        first_event_at_ = common::clock::now();
     const bool held = !is_stream() || head_.status >= first_server_error;
     if (!started_ && held &&
         unsent_.size() <= shared_.settings.held_answer_bytes)
         return;
     flush();
+
+    // From now on pauses are watched, which end sooner.
+    if (first_event)
+        arm_timer();
     if (unsent_.size() > shared_.settings.max_unsent_bytes && attempt_)
         attempt_->pause(true);
 }
