--- a/src/batch/membership.cpp
+++ b/src/batch/membership.cpp
@@ -17,14 +17,6 @@
 /// Group of the entries in the store.
 constexpr auto group = "entries";
 
-/// How much later than this process another one must have had an answer of the
-/// store for this one to count as cut off.
-constexpr auto contact_lead = std::chrono::milliseconds(1500);
-
-/// Time without a list of members after which all are given time to appear in
-/// the next one: they could not renew their sessions either.
-constexpr auto list_gap = std::chrono::milliseconds(1500);
-
 } // namespace
 
 membership::membership(boost::asio::io_context& context,
@@ -126,7 +118,7 @@
                         settings_.session_timeout + settings_.join_interval;
     const auto others = hooks_.last_store_contact();
     const bool pause =
-        silent && others && *others > service_.last_contact() + contact_lead;
+        silent && others && *others > service_.last_contact() + settings_.contact_lead;
     if (silent)
         leader_ = false;
     if (std::exchange(paused_, pause) != pause)
@@ -147,7 +139,7 @@
     if (result.ec || stopped_ || !leader_)
         return;
     const auto now = common::clock::now();
-    if (now - last_owners_ > list_gap)
+    if (now - last_owners_ > settings_.list_gap)
     {
         jobs_.table().for_each_member([&](const state::batch_member& it)
                                       { seen_[it.id] = now; });
--- a/src/batch/membership.hpp
+++ b/src/batch/membership.hpp
@@ -37,6 +37,14 @@
     /// others. Longer than a session, so that a member that the store dropped
     /// by itself can come back.
     std::chrono::milliseconds absence{2500};
+
+    /// How much later than this process another one must have had an answer of
+    /// the store for this one to count as cut off.
+    std::chrono::milliseconds contact_lead{1500};
+
+    /// Time without a list of members after which all are given time to appear
+    /// in the next one: they could not renew their sessions either.
+    std::chrono::milliseconds list_gap{1500};
 };
 
 /// What a membership uses of the process.
--- /dev/null
+++ b/test/batch/test_results.cpp
@@ -0,0 +1,192 @@
+#include "batch_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tanagertrack;
+using namespace tanagertrack::test;
+using namespace std::chrono_literals;
+using common::result_code;
+
+namespace
+{
+
+struct fixture : batch_world
+{
+    fixture()
+    {
+        server.make_answer = make_events(2);
+        one.add_target("t1", server);
+        two.until([this]
+                  { return two.jobs.is_current() && one.jobs.is_current(); });
+    }
+
+    std::optional<batch::results_page>
+    read(batch_process& where, const std::string& job, std::size_t after,
+         std::chrono::milliseconds wait = 0ms, std::size_t max_bytes = 1000000)
+    {
+        std::optional<batch::results_page> page;
+        where.reads.read(job, after, max_bytes, wait,
+                         [&page](const batch::results_page& it)
+                         { page = it; });
+        where.until([&page] { return page.has_value(); });
+        return page;
+    }
+
+    scripted_server& server = add_server();
+    batch_process one{*this};
+    batch_process two{*this, "m2"};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(batch_results, fixture)
+
+// Guards against a 404 for a job that another entry took in a moment ago.
+BOOST_AUTO_TEST_CASE(accepted_job_is_readable_at_every_process_at_once)
+{
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    const auto page = read(two, "j", 0);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(!page->ec);
+    BOOST_TEST(page->items == 1);
+}
+
+BOOST_AUTO_TEST_CASE(unknown_job_is_denied_only_when_that_is_certain)
+{
+    BOOST_TEST((read(two, "j", 0)->ec == result_code::unknown_job));
+    store.read_fate = []
+    {
+        return call_fate::refused;
+    };
+    BOOST_TEST((read(two, "j", 0)->ec == result_code::log_unavailable));
+}
+
+// Positions that one process showed must not be missing at another.
+BOOST_AUTO_TEST_CASE(results_have_the_same_positions_everywhere)
+{
+    std::vector<proto::JobItem> its;
+    for (int n = 0; n < 10; ++n)
+        its.push_back(one.make_item("i" + std::to_string(n)));
+    BOOST_TEST(one.accept("j", its));
+    BOOST_REQUIRE(
+        one.until([&] { return one.finished("j") && two.finished("j"); }));
+    const auto first = read(one, "j", 0);
+    const auto second = read(two, "j", 0);
+    BOOST_REQUIRE(first->results.size() == 10);
+    BOOST_REQUIRE(second->results.size() == 10);
+    for (std::size_t n = 0; n < 10; ++n)
+        BOOST_TEST(first->results[n].text.item() ==
+                   second->results[n].text.item());
+}
+
+BOOST_AUTO_TEST_CASE(page_ends_at_its_size_but_has_one_result)
+{
+    BOOST_TEST(one.accept("j", {one.make_item("a"), one.make_item("b")}));
+    BOOST_REQUIRE(one.until([&] { return one.finished("j"); }));
+    const auto page = read(one, "j", 0, 0ms, 1);
+    BOOST_TEST(page->results.size() == 1);
+    BOOST_TEST(page->next == 1);
+    BOOST_TEST(read(one, "j", 1)->results.size() == 1);
+    BOOST_TEST(read(one, "j", 2)->results.empty());
+}
+
+BOOST_AUTO_TEST_CASE(read_waits_for_a_result)
+{
+    server.make_answer = nullptr;
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    BOOST_REQUIRE(one.until([&] { return server.requests.size() == 1; }));
+    std::optional<batch::results_page> page;
+    two.reads.read("j", 0, 1000, 10s,
+                   [&page](const batch::results_page& it) { page = it; });
+    run_for(context, 50ms);
+    BOOST_TEST(!page.has_value());
+    server.send_all(make_events(2)("x\r\nId: a\r\n").bytes);
+    BOOST_REQUIRE(two.until([&] { return page.has_value(); }));
+    BOOST_TEST(page->results.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(read_without_a_result_ends_with_its_time)
+{
+    server.make_answer = nullptr;
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    const auto page = read(two, "j", 0, 30ms);
+    BOOST_TEST(!page->ec);
+    BOOST_TEST(page->results.empty());
+    BOOST_TEST(page->items == 1);
+}
+
+BOOST_AUTO_TEST_CASE(body_of_an_open_item_is_readable_everywhere)
+{
+    server.make_answer = nullptr;
+    BOOST_TEST(one.accept("j", {one.make_item("a"), one.make_item("b")}));
+    std::optional<std::string> body;
+    two.reads.read_body("j", "b",
+                        [&](std::error_code ec, const std::string& it)
+                        {
+                            BOOST_TEST(!ec);
+                            body = it;
+                        });
+    BOOST_REQUIRE(two.until([&] { return body.has_value(); }));
+    BOOST_TEST(*body == "body of b");
+
+    std::error_code unknown;
+    two.reads.read_body("j", "c", [&](std::error_code ec, const std::string&)
+                        { unknown = ec; });
+    BOOST_TEST((unknown == result_code::unknown_job));
+}
+
+BOOST_AUTO_TEST_CASE(end_of_a_job_may_be_repeated)
+{
+    server.make_answer = nullptr;
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    for (auto* where : {&one, &two, &one})
+    {
+        std::optional<std::error_code> ended;
+        where->reads.end("j", [&](std::error_code ec) { ended = ec; });
+        BOOST_REQUIRE(where->until([&] { return ended.has_value(); }));
+        BOOST_TEST(!*ended);
+    }
+    BOOST_TEST(one.until([&] { return one.job("j")->ended; }));
+}
+
+// Guards against an acknowledged end that the store never took.
+BOOST_AUTO_TEST_CASE(end_of_a_job_is_not_confirmed_without_the_store)
+{
+    server.make_answer = nullptr;
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    store.append_fate = []
+    {
+        return call_fate::refused;
+    };
+    std::optional<std::error_code> ended;
+    one.reads.end("j", [&](std::error_code ec) { ended = ec; });
+    BOOST_REQUIRE(one.until([&] { return ended.has_value(); }));
+    BOOST_TEST((*ended == result_code::log_unavailable));
+    BOOST_TEST(!one.job("j")->ended);
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_record_of_the_log_is_skipped)
+{
+    store.model.append({"jobs", 0, {std::string("\xff\xff\xff junk")}},
+                       common::clock::now());
+    store.wake();
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    BOOST_TEST(one.until([&] { return one.finished("j"); }));
+}
+
+// The store drops records after their time: what was known of them is gone,
+// and later ones count as before.
+BOOST_AUTO_TEST_CASE(process_goes_on_behind_records_that_expired)
+{
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    BOOST_REQUIRE(one.until([&] { return one.finished("j"); }));
+    store.model.trim("jobs", 0, store.model.end("jobs", 0));
+    batch_process late(*this, "m3");
+    BOOST_REQUIRE(late.until([&] { return late.jobs.is_current(); }));
+    BOOST_TEST((read(late, "j", 0)->ec == result_code::unknown_job));
+    late.add_target("t1", server);
+    BOOST_TEST(late.accept("k", {late.make_item("b")}));
+    BOOST_TEST(late.until([&] { return late.finished("k"); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/standin/store_model.cpp
+++ b/test/standin/store_model.cpp
@@ -213,6 +213,13 @@
     return keys;
 }
 
+std::uint64_t store_model::end(const std::string& topic,
+                               std::uint32_t partition) const
+{
+    const auto* it = find_log(topic, partition);
+    return it == nullptr ? 0 : it->end();
+}
+
 void store_model::trim(const std::string& topic, std::uint32_t partition,
                        std::uint64_t before)
 {
--- a/test/standin/store_model.hpp
+++ b/test/standin/store_model.hpp
@@ -97,6 +97,9 @@
                                   std::uint32_t partition,
                                   std::uint64_t& end) const;
 
+    /// Offset behind the last record; 0 for a topic that was not used.
+    std::uint64_t end(const std::string& topic, std::uint32_t partition) const;
+
     /// Drops the records before an offset.
     void trim(const std::string& topic, std::uint32_t partition,
               std::uint64_t before);
--- a/test/support/event_loop.hpp
+++ b/test/support/event_loop.hpp
@@ -9,13 +9,14 @@
 namespace tanagertrack::test
 {
 
-/// Runs handlers until the condition holds. False: it did not in 20 s, which
-/// no working part needs.
-inline bool run_until(boost::asio::io_context& context,
-                      const std::function<bool()>& condition)
+/// Runs handlers until the condition holds. False: it did not in time; no
+/// working part needs the default.
+inline bool
+run_until(boost::asio::io_context& context,
+          const std::function<bool()>& condition,
+          std::chrono::milliseconds time = std::chrono::seconds(20))
 {
-    const auto deadline =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    const auto deadline = std::chrono::steady_clock::now() + time;
     while (!condition())
     {
         if (std::chrono::steady_clock::now() >= deadline)
@@ -26,6 +27,13 @@
     return true;
 }
 
+/// Runs handlers for some time.
+inline void run_for(boost::asio::io_context& context,
+                    std::chrono::milliseconds time)
+{
+    run_until(context, [] { return false; }, time);
+}
+
 /// Runs what is ready, and what becomes ready by it.
 inline void run_ready(boost::asio::io_context& context)
 {
--- /dev/null
+++ b/test/support/quiet_log.hpp
@@ -0,0 +1,26 @@
+#ifndef TANAGERTRACK_TEST_SUPPORT_QUIET_LOG_HPP
+#define TANAGERTRACK_TEST_SUPPORT_QUIET_LOG_HPP
+
+#include "common/logging.hpp"
+
+#include <cstdlib>
+
+namespace tanagertrack::test
+{
+
+/// Global fixture: keeps the log out of a test's output, unless the
+/// environment asks for it with TANAGERTRACK_TEST_LOG=1.
+struct quiet_log
+{
+    quiet_log()
+    {
+        common::log_settings settings;
+        if (std::getenv("TANAGERTRACK_TEST_LOG") == nullptr)
+            settings.max_lines_a_second = 0;
+        common::init_logging(settings);
+    }
+};
+
+} // namespace tanagertrack::test
+
+#endif
