--- a/test/batch/test_intake.cpp
+++ b/test/batch/test_intake.cpp
@@ -1,4 +1,4 @@
-#include "batch_fixture.hpp"
+#include "batch/batch_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/batch/test_once_calls.cpp
+++ b/test/batch/test_once_calls.cpp
@@ -1,5 +1,5 @@
 #include "batch/retention.hpp"
-#include "batch_fixture.hpp"
+#include "batch/batch_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- /dev/null
+++ b/test/state/test_job_table.cpp
@@ -0,0 +1,384 @@
+#include "state/job_table.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace tanagertrack;
+using state::commit_verdict;
+using state::intent_verdict;
+
+namespace
+{
+
+/// A table, the records that it is given, and what it tells.
+struct fixture
+{
+    fixture()
+    {
+        state::job_table_hooks hooks;
+        hooks.on_commit = [this](const proto::JobCommit&, commit_verdict it)
+        {
+            commits.push_back(it);
+        };
+        hooks.on_item_intent =
+            [this](const proto::ItemIntent&, intent_verdict it)
+        {
+            intents.push_back(it);
+        };
+        hooks.on_call_intent =
+            [this](const proto::CallIntent&, intent_verdict it)
+        {
+            intents.push_back(it);
+        };
+        hooks.on_call_ended = [this](const std::string& it)
+        {
+            ended_calls.push_back(it);
+        };
+        hooks.on_taken = [this](const state::batch_job&, const std::string&)
+        {
+            ++taken;
+        };
+        table = std::make_unique<state::job_table>(std::move(hooks));
+    }
+
+    void apply(const proto::JobRecord& record)
+    {
+        table->apply(offset++, record);
+    }
+
+    void add_part(const std::string& job, const std::string& intake,
+                  std::uint32_t first, const std::vector<std::uint32_t>& tokens)
+    {
+        proto::JobRecord record;
+        auto& part = *record.mutable_part();
+        part.set_job(job);
+        part.set_intake(intake);
+        part.set_first_item(first);
+        for (const auto n : tokens)
+        {
+            auto& item = *part.add_items();
+            item.set_id(job + std::to_string(first++));
+            item.set_tokens(n);
+        }
+        apply(record);
+    }
+
+    commit_verdict commit(const std::string& job, const std::string& intake,
+                          std::uint32_t items, std::uint64_t limit = 0,
+                          const std::string& hash = {})
+    {
+        proto::JobRecord record;
+        auto& it = *record.mutable_commit();
+        it.set_job(job);
+        it.set_intake(intake);
+        it.set_route("r");
+        it.set_member("m1");
+        it.set_item_count(items);
+        it.set_max_waiting_tokens(limit);
+        it.set_content_hash(hash);
+        apply(record);
+        return commits.back();
+    }
+
+    void add_job(const std::string& job,
+                 const std::vector<std::uint32_t>& tokens)
+    {
+        add_part(job, "n", 0, tokens);
+        BOOST_REQUIRE((commit(job, "n",
+                              static_cast<std::uint32_t>(tokens.size())) ==
+                       commit_verdict::accepted));
+    }
+
+    void end_item(const std::string& job, std::uint32_t item,
+                  std::uint64_t text)
+    {
+        proto::JobRecord record;
+        auto& results = *record.mutable_results();
+        results.set_job(job);
+        auto& it = *results.add_results();
+        it.set_item(item);
+        it.set_state(proto::ITEM_DONE);
+        it.set_text_offset(text);
+        apply(record);
+    }
+
+    void end_job(const std::string& job)
+    {
+        proto::JobRecord record;
+        record.mutable_end()->set_job(job);
+        apply(record);
+    }
+
+    intent_verdict intend_item(const std::string& job, std::uint32_t item,
+                               const std::string& member)
+    {
+        proto::JobRecord record;
+        auto& it = *record.mutable_item_intent();
+        it.set_job(job);
+        it.set_item(item);
+        it.set_member(member);
+        apply(record);
+        return intents.back();
+    }
+
+    intent_verdict intend_call(const std::string& attempt,
+                               const std::string& hash = "h")
+    {
+        proto::JobRecord record;
+        auto& it = *record.mutable_call_intent();
+        it.set_call("c");
+        it.set_attempt(attempt);
+        it.set_content_hash(hash);
+        apply(record);
+        return intents.back();
+    }
+
+    void forget_call(const std::string& attempt)
+    {
+        proto::JobRecord record;
+        record.mutable_call_forgotten()->set_call("c");
+        record.mutable_call_forgotten()->set_attempt(attempt);
+        apply(record);
+    }
+
+    void start_member(const std::string& member, const std::string& host)
+    {
+        proto::JobRecord record;
+        record.mutable_member_started()->set_member(member);
+        record.mutable_member_started()->set_host(host);
+        apply(record);
+    }
+
+    std::unique_ptr<state::job_table> table;
+    std::uint64_t offset = 0;
+    std::vector<commit_verdict> commits;
+    std::vector<intent_verdict> intents;
+    std::vector<std::string> ended_calls;
+    unsigned taken = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(job_table, fixture)
+
+BOOST_AUTO_TEST_CASE(committed_job_has_its_items_in_order)
+{
+    add_part("j", "n", 0, {1, 2});
+    add_part("j", "n", 2, {3});
+    BOOST_TEST(table->find("j") == nullptr);
+    BOOST_TEST((commit("j", "n", 3) == commit_verdict::accepted));
+    const auto* job = table->find("j");
+    BOOST_REQUIRE(job != nullptr);
+    BOOST_TEST(job->items.size() == 3);
+    BOOST_TEST(job->items[2].tokens == 3);
+    BOOST_TEST(job->parts.size() == 2);
+    BOOST_TEST(job->find_item("j2").value() == 2);
+    BOOST_TEST(!job->find_item("other").has_value());
+    BOOST_TEST(table->waiting_tokens("r") == 6);
+}
+
+// Guards against a job without some of its items, after one of the appends of
+// its submission was refused.
+BOOST_AUTO_TEST_CASE(commit_without_all_parts_has_no_effect)
+{
+    add_part("j", "n", 0, {1});
+    add_part("j", "n", 2, {3});
+    BOOST_TEST((commit("j", "n", 3) == commit_verdict::incomplete));
+    BOOST_TEST(table->find("j") == nullptr);
+
+    // Nor does a part that comes twice fill the place of a missing one.
+    add_part("j", "n2", 0, {1});
+    add_part("j", "n2", 0, {1});
+    BOOST_TEST((commit("j", "n2", 2) == commit_verdict::incomplete));
+}
+
+// Parts of two submissions of one job must not be mixed.
+BOOST_AUTO_TEST_CASE(submissions_of_one_job_are_told_apart)
+{
+    add_part("j", "n1", 0, {1});
+    add_part("j", "n2", 0, {2, 3});
+    BOOST_TEST((commit("j", "n1", 1) == commit_verdict::accepted));
+    BOOST_TEST((commit("j", "n2", 2) == commit_verdict::repeated));
+    BOOST_TEST(table->find("j")->items.size() == 1);
+    BOOST_TEST(table->waiting_tokens("r") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(second_commit_with_other_content_is_a_conflict)
+{
+    add_part("j", "n1", 0, {1});
+    BOOST_TEST((commit("j", "n1", 1, 0, "h1") == commit_verdict::accepted));
+    BOOST_TEST((commit("j", "n2", 1, 0, "h1") == commit_verdict::repeated));
+    BOOST_TEST((commit("j", "n3", 1, 0, "h2") == commit_verdict::conflict));
+}
+
+BOOST_AUTO_TEST_CASE(job_that_does_not_fit_under_the_limit_is_refused)
+{
+    add_part("j", "n", 0, {40, 20});
+    BOOST_TEST((commit("j", "n", 2, 60) == commit_verdict::accepted));
+    add_part("k", "n", 0, {1});
+    BOOST_TEST((commit("k", "n", 1, 60) == commit_verdict::over_limit));
+    BOOST_TEST(table->find("k") == nullptr);
+
+    // An item that ended makes room.
+    end_item("j", 1, 5);
+    BOOST_TEST(table->waiting_tokens("r") == 40);
+    add_part("k", "n", 0, {20});
+    BOOST_TEST((commit("k", "n", 1, 60) == commit_verdict::accepted));
+}
+
+BOOST_AUTO_TEST_CASE(end_of_a_job_releases_its_tokens_once)
+{
+    add_job("j", {10, 20});
+    add_job("k", {5});
+    end_item("j", 0, 1);
+    end_job("j");
+    BOOST_TEST(table->waiting_tokens("r") == 5);
+    end_job("j");
+    end_item("j", 1, 2);
+    BOOST_TEST(table->waiting_tokens("r") == 5);
+
+    // An end that was on its way is listed all the same.
+    BOOST_TEST(table->find("j")->results.size() == 2);
+}
+
+// Guards against a position that changes, or holds another text than before.
+BOOST_AUTO_TEST_CASE(first_end_of_an_item_counts)
+{
+    add_job("j", {1, 1});
+    end_item("j", 1, 7);
+    end_item("j", 1, 8);
+    end_item("j", 0, 9);
+    const auto* job = table->find("j");
+    BOOST_TEST((job->results == std::vector<std::uint32_t>{1, 0}));
+    BOOST_TEST(job->items[1].text.offset == 7);
+    BOOST_TEST(!job->is_open());
+}
+
+BOOST_AUTO_TEST_CASE(records_of_unknown_jobs_and_items_are_skipped)
+{
+    end_item("j", 0, 1);
+    end_job("j");
+    add_job("j", {1});
+    end_item("j", 1, 1);
+    BOOST_TEST(table->find("j")->results.empty());
+    apply(proto::JobRecord());
+    BOOST_TEST(table->size() == 1);
+}
+
+// Two processes may both believe that a runner is gone.
+BOOST_AUTO_TEST_CASE(job_is_taken_only_from_its_runner)
+{
+    add_job("j", {1});
+    const auto take = [this](const char* from, const char* to)
+    {
+        proto::JobRecord record;
+        auto& it = *record.mutable_taken();
+        it.set_job("j");
+        it.set_from(from);
+        it.set_member(to);
+        apply(record);
+    };
+    take("m1", "m2");
+    take("m1", "m3");
+    BOOST_TEST(table->find("j")->runner == "m2");
+    BOOST_TEST(taken == 1);
+}
+
+BOOST_AUTO_TEST_CASE(progress_is_kept_until_the_item_ends)
+{
+    add_job("j", {1});
+    proto::JobRecord record;
+    auto& it = *record.mutable_progress();
+    it.set_job("j");
+    it.set_item(0);
+    it.set_last_event(12);
+    it.set_failures(1);
+    apply(record);
+    BOOST_REQUIRE(table->find("j")->progress.contains(0));
+    BOOST_TEST(table->find("j")->progress.at(0).last_event == 12);
+    end_item("j", 0, 1);
+    BOOST_TEST(table->find("j")->progress.empty());
+    apply(record);
+    BOOST_TEST(table->find("j")->progress.empty());
+}
+
+// Guards against a second run of an item that may run once.
+BOOST_AUTO_TEST_CASE(first_intent_of_an_item_counts)
+{
+    add_job("j", {1});
+    BOOST_TEST((intend_item("j", 0, "m1") == intent_verdict::first));
+    BOOST_TEST((intend_item("j", 0, "m2") == intent_verdict::repeated));
+    BOOST_TEST((intend_item("j", 0, "m1") == intent_verdict::repeated));
+    end_item("j", 0, 1);
+    BOOST_TEST((intend_item("j", 0, "m1") == intent_verdict::void_item));
+    BOOST_TEST((intend_item("k", 0, "m1") == intent_verdict::void_item));
+}
+
+BOOST_AUTO_TEST_CASE(first_intent_of_a_call_counts)
+{
+    BOOST_TEST((intend_call("a1") == intent_verdict::first));
+    BOOST_TEST((intend_call("a2") == intent_verdict::repeated));
+    BOOST_TEST((intend_call("a3", "other") == intent_verdict::conflict));
+}
+
+// Only the request that holds the intent can say that the call did not run,
+// and only while there is no outcome.
+BOOST_AUTO_TEST_CASE(intent_of_a_call_is_taken_back_by_its_own_request)
+{
+    intend_call("a1");
+    forget_call("a2");
+    BOOST_TEST((intend_call("a3") == intent_verdict::repeated));
+    forget_call("a1");
+    BOOST_TEST((ended_calls == std::vector<std::string>{"c"}));
+    BOOST_TEST((intend_call("a4") == intent_verdict::first));
+
+    proto::JobRecord outcome;
+    outcome.mutable_call_outcome()->set_call("c");
+    apply(outcome);
+    forget_call("a4");
+    BOOST_TEST((intend_call("a5") == intent_verdict::repeated));
+    BOOST_TEST(table->find_call("c")->outcome_at.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(new_process_of_a_host_replaces_the_earlier_one)
+{
+    start_member("m1", "h1");
+    start_member("m2", "h2");
+    start_member("m3", "h1");
+    BOOST_TEST(table->find_member("m1")->gone);
+    BOOST_TEST(!table->find_member("m2")->gone);
+    BOOST_TEST(!table->find_member("m3")->gone);
+    proto::JobRecord record;
+    record.mutable_member_stopped()->set_member("m2");
+    apply(record);
+    BOOST_TEST(table->find_member("m2")->gone);
+    unsigned live = 0;
+    table->for_each_member([&live](const auto&) { ++live; });
+    BOOST_TEST(live == 1);
+}
+
+// Guards against memory that grows with submissions that were broken off.
+BOOST_AUTO_TEST_CASE(submissions_without_a_commit_are_bounded)
+{
+    constexpr int many = 5000;
+    add_part("j", "first", 0, {1});
+    for (int n = 0; n < many; ++n)
+        add_part("j", std::to_string(n), 0, {1});
+    BOOST_TEST((commit("j", "first", 1) == commit_verdict::incomplete));
+    BOOST_TEST((commit("j", std::to_string(many - 1), 1) ==
+                commit_verdict::accepted));
+}
+
+BOOST_AUTO_TEST_CASE(forgotten_job_holds_no_tokens)
+{
+    add_job("j", {10});
+    add_job("k", {5});
+    table->forget("j");
+    BOOST_TEST(table->find("j") == nullptr);
+    BOOST_TEST(table->waiting_tokens("r") == 5);
+    BOOST_TEST(table->size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -69,6 +69,20 @@
         wake();
     }
 
+    /// Carries out one of the appends that are late; false if there is none.
+    bool run_one_late(const std::function<std::size_t(std::size_t)>& below)
+    {
+        if (late_.empty())
+            return false;
+        const auto at = late_.begin() +
+                        static_cast<std::ptrdiff_t>(below(late_.size()));
+        const auto call = *at;
+        late_.erase(at);
+        model.append(call, now());
+        wake();
+        return true;
+    }
+
     /// Wakes reads that are held back, after a change of the model.
     void wake()
     {
