--- a/src/batch/membership.cpp
+++ b/src/batch/membership.cpp
@@ -118,7 +118,8 @@
                         settings_.session_timeout + settings_.join_interval;
     const auto others = hooks_.last_store_contact();
     const bool pause =
-        silent && others && *others > service_.last_contact() + settings_.contact_lead;
+        silent && others &&
+        *others > service_.last_contact() + settings_.contact_lead;
     if (silent)
         leader_ = false;
     if (std::exchange(paused_, pause) != pause)
--- a/test/api/test_parsers.cpp
+++ b/test/api/test_parsers.cpp
@@ -40,9 +40,8 @@
         return items.parse(line, item, error);
     }
 
-    api::item_parser items{std::make_shared<const api::fleet_index>(
-                               make_fleet()),
-                           5};
+    api::item_parser items{
+        std::make_shared<const api::fleet_index>(make_fleet()), 5};
     proto::JobItem item;
     api::line_error error;
 };
@@ -106,8 +105,8 @@
     BOOST_TEST((code(chat_line("")) == result_code::invalid_request));
     BOOST_TEST((code(chat_line(std::string(257, 'x'))) ==
                 result_code::invalid_request));
-    BOOST_TEST((code(service_line("a", "/v1/other")) ==
-                result_code::unknown_path));
+    BOOST_TEST(
+        (code(service_line("a", "/v1/other")) == result_code::unknown_path));
     BOOST_TEST((code(service_line("a", "/v1/services/none/x")) ==
                 result_code::unknown_service));
 }
@@ -159,7 +158,8 @@
     BOOST_TEST(!out.resumable);
     BOOST_TEST(!out.stream);
     for (const auto& [body, field] :
-         {std::pair{"{}", "model"}, {R"({"model":""})", "model"},
+         {std::pair{"{}", "model"},
+          {R"({"model":""})", "model"},
           {R"({"model":"m","stream":1})", "stream"},
           {R"({"model":"m","n":"x"})", "n"},
           {R"({"model":"m","messages":[]})", "messages"},
@@ -171,10 +171,10 @@
     }
     BOOST_TEST((parse(model_endpoint::completion, R"({"model":"m"})") ==
                 result_code::invalid_request));
-    BOOST_TEST((parse(model_endpoint::chat, "{") ==
-                result_code::malformed_json));
-    BOOST_TEST((parse(model_endpoint::chat, "\xff") ==
-                result_code::invalid_utf8));
+    BOOST_TEST(
+        (parse(model_endpoint::chat, "{") == result_code::malformed_json));
+    BOOST_TEST(
+        (parse(model_endpoint::chat, "\xff") == result_code::invalid_utf8));
 }
 
 BOOST_AUTO_TEST_CASE(events_of_a_completion_add_up_to_its_answer)
@@ -232,8 +232,8 @@
     const api::fleet_index fleet(make_fleet());
     BOOST_REQUIRE(fleet.find_team("Bearer secret") != nullptr);
     BOOST_TEST(fleet.find_team("Bearer secret")->name() == "red");
-    for (const auto* it : {"", "secret", "Bearer", "Bearer ", "Basic secret",
-                           "Bearer secret2"})
+    for (const auto* it :
+         {"", "secret", "Bearer", "Bearer ", "Basic secret", "Bearer secret2"})
         BOOST_TEST(fleet.find_team(it) == nullptr, it);
     BOOST_TEST(fleet.has_model("m"));
     BOOST_TEST(!fleet.has_model("billing"));
@@ -258,8 +258,8 @@
                 fleet::route_kind::stream));
     BOOST_TEST((find(route_use::answer, "m")->repeats ==
                 fleet::repetition::repeatable));
-    BOOST_TEST((find(route_use::once, "billing")->repeats ==
-                fleet::repetition::once));
+    BOOST_TEST(
+        (find(route_use::once, "billing")->repeats == fleet::repetition::once));
     BOOST_TEST(find(route_use::once, "billing")->max_attempts == 1);
     BOOST_TEST(find(route_use::once, "m") == nullptr);
 }
--- a/test/api/test_ticket_log.cpp
+++ b/test/api/test_ticket_log.cpp
@@ -88,8 +88,8 @@
     const bool one_won = first->verdict.kind == kind::accepted;
     const bool two_won = second->verdict.kind == kind::accepted;
     BOOST_TEST(one_won != two_won);
-    BOOST_TEST(run_until(context, [&]
-                         { return one.version == 1 && two.version == 1; }));
+    BOOST_TEST(run_until(context,
+                         [&] { return one.version == 1 && two.version == 1; }));
     BOOST_TEST(one.log->current()->models(0).name() ==
                two.log->current()->models(0).name());
 }
@@ -172,8 +172,7 @@
 
 BOOST_AUTO_TEST_CASE(unreadable_record_is_skipped)
 {
-    store.model.append({"tickets", 0, {"\xff\xff junk"}},
-                       common::clock::now());
+    store.model.append({"tickets", 0, {"\xff\xff junk"}}, common::clock::now());
     store.wake();
     BOOST_TEST((submit(one, 1, model)->verdict.kind == kind::accepted));
 }
--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -199,26 +199,32 @@
     fleet::configuration_ptr configuration;
     targets::target_set set{world.context,
                             {"d", "", {}},
-                            [this] { items.pump_soon(); }};
+                            [this]
+                            {
+                                items.pump_soon();
+                            }};
     routing::placement place{routing::placement_settings(), world.lowest};
     batch::batch_settings settings;
-    batch::environment shared{
-        world.context,
-        settings,
-        world.protocol,
-        set,
-        place,
-        [this] { return configuration; },
-        [](unsigned status)
-        {
-            return status == 422   ? batch::failure_kind::permanent
-                   : status == 500 ? batch::failure_kind::counted
-                                   : batch::failure_kind::transient;
-        },
-        [](const targets::target&) { return 0U; },
-        [](const targets::target&) { return 0U; }};
-    batch::job_log jobs{world.context, world.store.service(),
-                        fast_log(member)};
+    batch::environment shared{world.context,
+                              settings,
+                              world.protocol,
+                              set,
+                              place,
+                              [this] { return configuration; },
+                              [](unsigned status)
+                              {
+                                  return status == 422
+                                             ? batch::failure_kind::permanent
+                                         : status == 500
+                                             ? batch::failure_kind::counted
+                                             : batch::failure_kind::transient;
+                              },
+                              [](const targets::target&) { return 0U; },
+                              [](const targets::target&)
+                              {
+                                  return 0U;
+                              }};
+    batch::job_log jobs{world.context, world.store.service(), fast_log(member)};
     batch::text_store texts{world.context, world.store.service(),
                             fast_texts(member)};
     batch::result_recorder recorder{world.context, jobs, texts,
--- a/test/batch/explorer.cpp
+++ b/test/batch/explorer.cpp
@@ -32,8 +32,7 @@
 explorer::explorer(std::uint64_t seed) : random_(seed)
 {
     constexpr double max_fault_share = 0.5;
-    fault_share_ = max_fault_share *
-                   static_cast<double>(below(5)) / 4;
+    fault_share_ = max_fault_share * static_cast<double>(below(5)) / 4;
     draw_fates();
     for (std::size_t n = 0; n < node_count; ++n)
     {
@@ -101,18 +100,16 @@
         [this](const state::batch_job& job, std::uint32_t item)
     {
         const auto position = job.results.size() - 1;
-        const auto [at, fresh] =
-            shown_.try_emplace({job.id, position}, item);
+        const auto [at, fresh] = shown_.try_emplace({job.id, position}, item);
         if (!fresh && at->second != item)
-            fail("two items at position " + std::to_string(position) +
-                 " of " + job.id);
+            fail("two items at position " + std::to_string(position) + " of " +
+                 job.id);
     };
     listener.changes.on_item_intent =
         [this, name](const proto::ItemIntent& intent,
                      state::intent_verdict verdict)
     {
-        if (verdict != state::intent_verdict::first ||
-            intent.member() != name)
+        if (verdict != state::intent_verdict::first || intent.member() != name)
             return;
         if (++item_grants_[{intent.job(), intent.item()}] > 1)
             fail("two runs of an item of " + intent.job());
@@ -148,10 +145,12 @@
 {
     using action = void (explorer::*)();
     constexpr std::array<action, 12> actions{
-        &explorer::submit,      &explorer::submit,      &explorer::submit,
-        &explorer::finish_item, &explorer::finish_item, &explorer::finish_item,
-        &explorer::end_job,     &explorer::take_job,    &explorer::ask_call,
-        &explorer::end_call,    &explorer::ask_item,    &explorer::restart_node};
+        &explorer::submit,      &explorer::submit,
+        &explorer::submit,      &explorer::finish_item,
+        &explorer::finish_item, &explorer::finish_item,
+        &explorer::end_job,     &explorer::take_job,
+        &explorer::ask_call,    &explorer::end_call,
+        &explorer::ask_item,    &explorer::restart_node};
     (this->*actions[below(actions.size())])();
     if (chance(0.2))
         store_.run_one_late([this](std::size_t n) { return below(n); });
@@ -180,8 +179,8 @@
     ++history.attempts;
     const auto it = where.submissions.open(
         terms,
-        [this, &history, alive = where.alive](
-            const batch::submission_verdict& why)
+        [this, &history,
+         alive = where.alive](const batch::submission_verdict& why)
         {
             if (!*alive)
                 return;
@@ -206,10 +205,10 @@
         {
             for (std::uint32_t n = 0; n < job.items.size(); ++n)
             {
-                const bool candidate =
-                    job.runner == where.jobs.member() && !job.ended &&
-                    job.items[n].state == proto::ITEM_OPEN &&
-                    !where.ended_items.contains({job.id, n});
+                const bool candidate = job.runner == where.jobs.member() &&
+                                       !job.ended &&
+                                       job.items[n].state == proto::ITEM_OPEN &&
+                                       !where.ended_items.contains({job.id, n});
                 if (candidate)
                     open.emplace_back(job.id, n);
             }
@@ -264,29 +263,28 @@
     const auto deadline =
         common::clock::now() +
         (chance(0.8) ? std::chrono::hours(1) : std::chrono::hours(0));
-    where.calls.ask(
-        call, "content", attempt, deadline,
-        [this, call, attempt, alive = where.alive](
-            const batch::call_permit& permit)
-        {
-            using kind = batch::call_permit::kind;
-            auto& history = calls_[call];
-            if (!*alive)
-                return;
-            if (permit.what == kind::run)
-            {
-                history.granted.insert(attempt);
-                running_calls_.emplace_back(call, attempt);
-                if (history.granted.size() > 1)
-                    fail("two runs of call " + call);
-            }
-            const bool foreign = permit.what == kind::answered &&
-                                 permit.answer.status != 0 &&
-                                 !history.reported.contains(
-                                     permit.answer.body);
-            if (foreign)
-                fail("unknown answer of call " + call);
-        });
+    where.calls.ask(call, "content", attempt, deadline,
+                    [this, call, attempt,
+                     alive = where.alive](const batch::call_permit& permit)
+                    {
+                        using kind = batch::call_permit::kind;
+                        auto& history = calls_[call];
+                        if (!*alive)
+                            return;
+                        if (permit.what == kind::run)
+                        {
+                            history.granted.insert(attempt);
+                            running_calls_.emplace_back(call, attempt);
+                            if (history.granted.size() > 1)
+                                fail("two runs of call " + call);
+                        }
+                        const bool foreign =
+                            permit.what == kind::answered &&
+                            permit.answer.status != 0 &&
+                            !history.reported.contains(permit.answer.body);
+                        if (foreign)
+                            fail("unknown answer of call " + call);
+                    });
 }
 
 void explorer::end_call()
@@ -392,8 +390,8 @@
             ++coverage.repeated_calls;
     };
     state::job_table truth(std::move(hooks));
-    const auto all = store_.model.read("jobs", 0, 0, SIZE_MAX,
-                                       common::clock::now());
+    const auto all =
+        store_.model.read("jobs", 0, 0, SIZE_MAX, common::clock::now());
     std::uint64_t offset = 0;
     for (const auto& it : all.records)
     {
@@ -439,10 +437,9 @@
             [&](const state::batch_job& job)
             {
                 const auto* known = it->jobs.table().find(job.id);
-                const bool same = known != nullptr &&
-                                  known->results == job.results &&
-                                  known->runner == job.runner &&
-                                  known->ended == job.ended;
+                const bool same =
+                    known != nullptr && known->results == job.results &&
+                    known->runner == job.runner && known->ended == job.ended;
                 if (!same)
                     fail(it->jobs.member() + " sees " + job.id +
                          " differently");
--- a/test/batch/test_explorer.cpp
+++ b/test/batch/test_explorer.cpp
@@ -24,8 +24,8 @@
     {
         test::explorer it(seed);
         const auto failure = it.run(steps);
-        BOOST_REQUIRE_MESSAGE(failure.empty(), "seed " << seed << ": "
-                                                       << failure);
+        BOOST_REQUIRE_MESSAGE(failure.empty(),
+                              "seed " << seed << ": " << failure);
         sum.accepted += it.coverage.accepted;
         sum.results += it.coverage.results;
         sum.taken += it.coverage.taken;
--- a/test/batch/test_membership.cpp
+++ b/test/batch/test_membership.cpp
@@ -116,11 +116,9 @@
 {
     member one(*this, "m1", "h1");
     member two(*this, "m2", "h2");
-    BOOST_TEST(run_until(context,
-                         [&] {
-                             return one.members.is_leader() !=
-                                    two.members.is_leader();
-                         }));
+    BOOST_TEST(run_until(
+        context,
+        [&] { return one.members.is_leader() != two.members.is_leader(); }));
 }
 
 // Guards against jobs that nobody runs after their process was killed.
@@ -129,8 +127,8 @@
     add_member("dead", "h0");
     add_job("j", "dead");
     member one(*this, "m1", "h1");
-    BOOST_TEST(run_until(context, [&]
-                         { return one.job("j") && one.job("j")->runner == "m1"; }));
+    BOOST_TEST(run_until(
+        context, [&] { return one.job("j") && one.job("j")->runner == "m1"; }));
 }
 
 BOOST_AUTO_TEST_CASE(process_takes_over_from_its_predecessor_at_once)
@@ -140,8 +138,8 @@
     store.model.join("entries", "leader", {"jobs"}, 10s, common::clock::now(),
                      leader_share);
     member one(*this, "m1", "h1");
-    BOOST_TEST(run_until(context, [&]
-                         { return one.job("j") && one.job("j")->runner == "m1"; }));
+    BOOST_TEST(run_until(
+        context, [&] { return one.job("j") && one.job("j")->runner == "m1"; }));
     BOOST_TEST(!one.members.is_leader());
 }
 
@@ -149,14 +147,17 @@
 {
     member one(*this, "m1", "h1");
     auto two = std::make_unique<member>(*this, "m2", "h2");
-    BOOST_REQUIRE(run_until(context, [&]
-                            { return one.jobs.table().find_member("m2") &&
-                                     two->members.is_leader() !=
-                                         one.members.is_leader(); }));
+    BOOST_REQUIRE(run_until(context,
+                            [&]
+                            {
+                                return one.jobs.table().find_member("m2") &&
+                                       two->members.is_leader() !=
+                                           one.members.is_leader();
+                            }));
     add_job("j", "m2");
     two->members.stop();
-    BOOST_TEST(run_until(context, [&]
-                         { return one.job("j") && one.job("j")->runner == "m1"; }));
+    BOOST_TEST(run_until(
+        context, [&] { return one.job("j") && one.job("j")->runner == "m1"; }));
 }
 
 // The store may drop a member by itself, or hand all partitions out anew.
@@ -165,9 +166,9 @@
 {
     member one(*this, "m1", "h1");
     member two(*this, "m2", "h2");
-    BOOST_REQUIRE(run_until(context, [&]
-                            { return one.jobs.table().find_member("m2") !=
-                                     nullptr; }));
+    BOOST_REQUIRE(
+        run_until(context, [&]
+                  { return one.jobs.table().find_member("m2") != nullptr; }));
     add_job("j", "m2");
     for (int n = 0; n < 60; ++n)
     {
@@ -271,8 +272,9 @@
 BOOST_AUTO_TEST_CASE(process_that_is_declared_gone_announces_itself_again)
 {
     member one(*this, "m1", "h1");
-    BOOST_REQUIRE(run_until(
-        context, [&] { return one.jobs.table().find_member("m1") != nullptr; }));
+    BOOST_REQUIRE(
+        run_until(context, [&]
+                  { return one.jobs.table().find_member("m1") != nullptr; }));
     add_member("m0", "h1");
     BOOST_TEST(run_until(context,
                          [&]
--- a/test/batch/test_once_calls.cpp
+++ b/test/batch/test_once_calls.cpp
@@ -1,5 +1,5 @@
-#include "batch/retention.hpp"
 #include "batch/batch_fixture.hpp"
+#include "batch/retention.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -172,8 +172,8 @@
     batch::retention look(context, one.jobs, settings);
     look.start();
     BOOST_TEST(one.until([&] { return one.job("done") == nullptr; }));
-    BOOST_TEST(one.until(
-        [&] { return one.jobs.table().find_call("c") == nullptr; }));
+    BOOST_TEST(
+        one.until([&] { return one.jobs.table().find_call("c") == nullptr; }));
 
     // Guards against open items that are lost with their job's time.
     BOOST_TEST(one.job("open") != nullptr);
--- a/test/batch/test_results.cpp
+++ b/test/batch/test_results.cpp
@@ -26,8 +26,7 @@
     {
         std::optional<batch::results_page> page;
         where.reads.read(job, after, max_bytes, wait,
-                         [&page](const batch::results_page& it)
-                         { page = it; });
+                         [&page](const batch::results_page& it) { page = it; });
         where.until([&page] { return page.has_value(); });
         return page;
     }
@@ -130,7 +129,8 @@
     BOOST_TEST(*body == "body of b");
 
     std::error_code unknown;
-    two.reads.read_body("j", "c", [&](std::error_code ec, const std::string&)
+    two.reads.read_body("j", "c",
+                        [&](std::error_code ec, const std::string&)
                         { unknown = ec; });
     BOOST_TEST((unknown == result_code::unknown_job));
 }
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -197,8 +197,8 @@
     BOOST_REQUIRE(one.until([&] { return server.requests.size() == 2; }));
     bool ended = false;
     one.reads.end("j", [&](std::error_code ec) { ended = !ec; });
-    BOOST_TEST(one.until(
-        [&] { return ended && one.items.counts().running == 0; }));
+    BOOST_TEST(
+        one.until([&] { return ended && one.items.counts().running == 0; }));
     BOOST_TEST(one.until([&] { return server.closed == 2; }));
     BOOST_TEST(one.items.counts().pending == 0);
     BOOST_TEST(server.requests.size() == 2);
@@ -330,7 +330,8 @@
 {
     BOOST_TEST(one.accept("j", {one.make_item("a")}));
     take("j", "m1", "m2");
-    BOOST_TEST(two.until([&] { return two.finished("j") && one.finished("j"); }));
+    BOOST_TEST(
+        two.until([&] { return two.finished("j") && one.finished("j"); }));
     run_for(context, 30ms);
     BOOST_TEST(one.job("j")->results == two.job("j")->results);
     BOOST_TEST(one.job("j")->results.size() == 1);
@@ -435,8 +436,7 @@
 BOOST_AUTO_TEST_CASE(no_more_items_run_than_there_are_free_places)
 {
     one.set.find("t1")->load.peer_online = 1;
-    BOOST_TEST(
-        one.accept("j", {one.make_item("a"), one.make_item("b")}));
+    BOOST_TEST(one.accept("j", {one.make_item("a"), one.make_item("b")}));
     BOOST_REQUIRE(one.until([&] { return server.requests.size() == 1; }));
     run_for(context, 30ms);
     BOOST_TEST(one.items.counts().running == 1);
@@ -445,8 +445,7 @@
 
 BOOST_AUTO_TEST_CASE(items_give_way_when_others_fill_the_target)
 {
-    BOOST_TEST(
-        one.accept("j", {one.make_item("a"), one.make_item("b")}));
+    BOOST_TEST(one.accept("j", {one.make_item("a"), one.make_item("b")}));
     BOOST_REQUIRE(one.until([&] { return one.items.counts().running == 2; }));
     one.set.find("t1")->load.peer_online = 1;
     one.items.yield();
--- a/test/entry/test_lifecycle.cpp
+++ b/test/entry/test_lifecycle.cpp
@@ -14,7 +14,11 @@
 {
     fixture()
         : life({[this] { told += "serving "; }, [this] { told += "draining "; },
-                [this] { told += "closing "; }, [this] { told += "stopped "; }})
+                [this] { told += "closing "; },
+                [this]
+                {
+                    told += "stopped ";
+                }})
     {
     }
 
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -147,7 +147,8 @@
     boost::asio::io_context context;
     std::list<scripted_server> servers;
     targets::target_protocol protocol = make_test_protocol();
-    targets::target_set set{context, {"d", "", {}}, [] {}};
+    targets::target_set set{context, {"d", "", {}}, [] {
+                            }};
     const routing::random_below lowest = [](std::size_t)
     {
         return 0;
@@ -162,7 +163,9 @@
                                place,
                                lowest,
                                [this](targets::target& it)
-                               { asked_for_room.push_back(it.id()); }};
+                               {
+                                   asked_for_room.push_back(it.id());
+                               }};
     fleet::route route;
 };
 
--- a/test/peers/test_load_exchange.cpp
+++ b/test/peers/test_load_exchange.cpp
@@ -84,13 +84,13 @@
 {
     one.set.find("t1")->add_request(routing::work_class::online);
     one.set.find("t1")->add_request(routing::work_class::batch);
-    BOOST_TEST(run_until(context, [&]
-                         { return seen(two, "t1").peer_online == 1; }));
+    BOOST_TEST(
+        run_until(context, [&] { return seen(two, "t1").peer_online == 1; }));
     BOOST_TEST(seen(two, "t1").peer_batch == 1);
     BOOST_TEST(seen(two, "t2").peer_online == 0);
     one.set.find("t1")->end_request(routing::work_class::online);
-    BOOST_TEST(run_until(context, [&]
-                         { return seen(two, "t1").peer_online == 0; }));
+    BOOST_TEST(
+        run_until(context, [&] { return seen(two, "t1").peer_online == 0; }));
 }
 
 BOOST_AUTO_TEST_CASE(reports_of_targets_are_passed_on_once)
@@ -112,8 +112,8 @@
 BOOST_AUTO_TEST_CASE(load_of_a_removed_peer_is_dropped)
 {
     one.set.find("t1")->add_request(routing::work_class::online);
-    BOOST_REQUIRE(run_until(context, [&]
-                            { return seen(two, "t1").peer_online == 1; }));
+    BOOST_REQUIRE(
+        run_until(context, [&] { return seen(two, "t1").peer_online == 1; }));
     two.exchange->remove_peer("m1");
     BOOST_TEST(seen(two, "t1").peer_online == 0);
 }
@@ -137,8 +137,8 @@
     run_for(context, 30ms);
     BOOST_TEST(seen(two, "t1").peer_online == 0);
     one.set.find("t1")->add_request(routing::work_class::online);
-    BOOST_TEST(run_until(context, [&]
-                         { return seen(two, "t1").peer_online == 1; }));
+    BOOST_TEST(
+        run_until(context, [&] { return seen(two, "t1").peer_online == 1; }));
 }
 
 // Hundreds of targets in use fit into a message.
@@ -152,8 +152,8 @@
             it->set.add(id, make_announcement({"127.0.0.1", 1}));
         one.set.find(id)->add_request(routing::work_class::online);
     }
-    BOOST_TEST(run_until(context, [&]
-                         { return seen(two, "x1999").peer_online == 1; }, 3s));
+    BOOST_TEST(run_until(
+        context, [&] { return seen(two, "x1999").peer_online == 1; }, 3s));
     BOOST_TEST(seen(two, "x0").peer_online == 1);
 }
 
--- a/test/peers/test_peer_loads.cpp
+++ b/test/peers/test_peer_loads.cpp
@@ -15,8 +15,7 @@
 
 peers::LoadMessage make_message(const std::string& member,
                                 std::uint64_t sequence, std::uint32_t online,
-                                std::uint32_t batch,
-                                std::uint32_t waiting = 0)
+                                std::uint32_t batch, std::uint32_t waiting = 0)
 {
     peers::LoadMessage it;
     it.set_member(member);
--- a/test/platform/test_front.cpp
+++ b/test/platform/test_front.cpp
@@ -52,8 +52,7 @@
         settings.store.jobs_interval = 0ms;
         core = std::make_unique<entry::entry_core>(
             context, settings, metrics,
-            entry::core_parts{store.service(),
-                              platform::make_engine_protocol(),
+            entry::core_parts{store.service(), platform::make_engine_protocol(),
                               platform::judge_failure});
         edge = platform::make_platform_edge(
             *core, [this] { targets_known = true; }, [this] { return ready; });
@@ -111,15 +110,15 @@
     std::string announcement(unsigned seq, const std::string& state) const
     {
         return R"({"service":"s","address":")" + to_string(engine.address()) +
-               R"(","zone":"a","slots":4,"state":")" + state +
-               R"(","seq":)" + std::to_string(seq) + R"(,"born":1})";
+               R"(","zone":"a","slots":4,"state":")" + state + R"(","seq":)" +
+               std::to_string(seq) + R"(,"born":1})";
     }
 
     void add_engine()
     {
         put("keyed.servers", "t1", announcement(1, "ready"));
-        BOOST_REQUIRE(run_until(
-            context, [&] { return core->targets().size() == 1; }));
+        BOOST_REQUIRE(
+            run_until(context, [&] { return core->targets().size() == 1; }));
     }
 
     std::string ask(const std::string& request, const std::string& mark)
@@ -207,8 +206,8 @@
 BOOST_AUTO_TEST_CASE(metrics_are_served)
 {
     async_client client(context, settings.platform.ready.port);
-    const auto text = client.ask(
-        "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", "store_calls_total");
+    const auto text = client.ask("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
+                                 "store_calls_total");
     BOOST_TEST(text.starts_with("HTTP/1.1 200 "));
 }
 
@@ -269,8 +268,8 @@
 
 BOOST_AUTO_TEST_CASE(request_is_served_with_the_targets_stamp)
 {
-    const auto answer = ask(
-        get("/c/x?y=1", "X-Tanagertrack-Deadline-Ms: 1500\r\n"), "answer");
+    const auto answer =
+        ask(get("/c/x?y=1", "X-Tanagertrack-Deadline-Ms: 1500\r\n"), "answer");
     BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
     BOOST_TEST(has(answer, "X-Tanagertrack-Server-Stamp: st\r\n"));
     BOOST_TEST(has(answer, "X-Tanagertrack-Request-Id: r1\r\n"));
@@ -278,8 +277,7 @@
     BOOST_TEST(sent.starts_with("GET /c/x?y=1 HTTP/1.1\r\n"));
     BOOST_TEST(field_of(sent, "Host") == "h");
     BOOST_TEST(field_of(sent, "X-Tanagertrack-Expect-Instance") == "t1");
-    const auto left =
-        std::stoi(field_of(sent, "X-Tanagertrack-Deadline-Ms"));
+    const auto left = std::stoi(field_of(sent, "X-Tanagertrack-Deadline-Ms"));
     BOOST_TEST(left <= 1500);
     BOOST_TEST(left > 1000);
 }
@@ -289,8 +287,7 @@
 BOOST_AUTO_TEST_CASE(unknown_hosts_and_paths_get_404)
 {
     BOOST_TEST(has(ask(get("/other/x"), "\r\n\r\n"), " 404 "));
-    BOOST_TEST(has(ask("GET /c/x HTTP/1.1\r\nHost: nobody\r\n\r\n",
-                       "\r\n\r\n"),
+    BOOST_TEST(has(ask("GET /c/x HTTP/1.1\r\nHost: nobody\r\n\r\n", "\r\n\r\n"),
                    " 404 "));
     BOOST_TEST(has(ask("GET /c/x HTTP/1.1\r\n\r\n", "\r\n\r\n"), " 404 "));
     BOOST_TEST(engine.requests.empty());
@@ -302,8 +299,8 @@
     BOOST_TEST(has(ask(get("/c/../b/x"), "answer"), " 200 "));
     BOOST_TEST(engine.requests.front().starts_with("GET /c/../b/x "));
     BOOST_TEST(has(ask(get("/../c/x"), "\r\n\r\n"), " 404 "));
-    BOOST_TEST(has(ask(get("/tanagertrack/lots/../../c/x"), "\r\n\r\n"),
-                   " 404 "));
+    BOOST_TEST(
+        has(ask(get("/tanagertrack/lots/../../c/x"), "\r\n\r\n"), " 404 "));
     BOOST_TEST(engine.requests.size() == 1);
 }
 
@@ -321,8 +318,7 @@
 // and the chunks disagree on where the first one ends.
 BOOST_AUTO_TEST_CASE(length_beside_chunks_is_refused)
 {
-    const std::string smuggled =
-        "GET /c/smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string smuggled = "GET /c/smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
     const auto answer =
         ask("POST /c/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                 std::to_string(5 + smuggled.size()) +
@@ -341,9 +337,9 @@
           "Transfer-Encoding: chunked, identity", "Content-Length: -3",
           "Content-Length: 3, 4"})
     {
-        const auto answer = ask("POST /c/x HTTP/1.1\r\nHost: h\r\n" + line +
-                                    "\r\n\r\nabc",
-                                "\r\n\r\n");
+        const auto answer =
+            ask("POST /c/x HTTP/1.1\r\nHost: h\r\n" + line + "\r\n\r\nabc",
+                "\r\n\r\n");
         BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), line << ": " << answer);
     }
     BOOST_TEST(engine.requests.empty());
@@ -362,8 +358,8 @@
     std::string fields;
     for (int n = 0; n < 400; ++n)
         fields += "X-Field-" + std::to_string(n) + ": value\r\n";
-    BOOST_TEST(ask(get("/c/x", fields), "\r\n\r\n")
-                   .starts_with("HTTP/1.1 431 "));
+    BOOST_TEST(
+        ask(get("/c/x", fields), "\r\n\r\n").starts_with("HTTP/1.1 431 "));
     BOOST_TEST(has(ask(get("/c/x"), "answer"), " 200 "));
 }
 
@@ -373,7 +369,8 @@
     async_client slow(context, settings.platform.front.port);
     slow.send("GET /c/x HTTP/1.1\r\nHost: h\r\nX-Slow: ");
     BOOST_TEST(has(ask(get("/c/x"), "answer"), " 200 "));
-    BOOST_TEST(run_until(context, [&] { return slow.closed; }, 5s));
+    BOOST_TEST(run_until(
+        context, [&] { return slow.closed; }, 5s));
     BOOST_TEST(engine.requests.size() == 1);
 }
 
@@ -398,19 +395,18 @@
     engine.make_answer = [](const std::string& request)
     {
         return scripted_answer{
-            chunked_head(200, "X-Tanagertrack-Request-Id: " +
-                                  field_of(request,
-                                           "X-Tanagertrack-Request-Id") +
-                                  "\r\n") +
+            chunked_head(200,
+                         "X-Tanagertrack-Request-Id: " +
+                             field_of(request, "X-Tanagertrack-Request-Id") +
+                             "\r\n") +
             chunk(event(1, "one")) + chunk(event(2, "two")) + chunk("")};
     };
     const auto submitted =
         ask(post("/b/j1", job_body(item("i1")), "j1"), "\r\n\r\n{}");
     BOOST_TEST(submitted.starts_with("HTTP/1.1 202 "));
-    const auto page =
-        ask(get("/tanagertrack/lots/j1?after=0",
-                "X-Tanagertrack-Wait-Ms: 1000\r\n"),
-            "}]}");
+    const auto page = ask(get("/tanagertrack/lots/j1?after=0",
+                              "X-Tanagertrack-Wait-Ms: 1000\r\n"),
+                          "}]}");
     BOOST_TEST(has(page, R"("totalCount":1)"));
     BOOST_TEST(has(page, R"("next":1)"));
     BOOST_TEST(has(page, R"("id":"i1","state":"succeeded","text":"one\ntwo")"));
@@ -429,12 +425,11 @@
         return scripted_answer{};
     };
     ask(post("/b/j1", job_body(item("i1")), "j1"), "\r\n\r\n{}");
-    BOOST_TEST(has(ask(get("/tanagertrack/items/j1?id=i1"), "body of i1"),
-                   " 200 "));
-    BOOST_TEST(has(ask(get("/tanagertrack/items/j1?id=i2"), "\r\n\r\n"),
-                   " 404 "));
     BOOST_TEST(
-        has(ask(get("/tanagertrack/lots/j2"), "\r\n\r\n"), " 404 "));
+        has(ask(get("/tanagertrack/items/j1?id=i1"), "body of i1"), " 200 "));
+    BOOST_TEST(
+        has(ask(get("/tanagertrack/items/j1?id=i2"), "\r\n\r\n"), " 404 "));
+    BOOST_TEST(has(ask(get("/tanagertrack/lots/j2"), "\r\n\r\n"), " 404 "));
 }
 
 BOOST_AUTO_TEST_CASE(job_over_the_limit_gets_429)
@@ -507,8 +502,7 @@
         R"("Connection":"close","Kept":"1"}})");
     BOOST_TEST(ask(post("/b/j1", body, "j1"), "\r\n\r\n{}")
                    .starts_with("HTTP/1.1 202 "));
-    BOOST_REQUIRE(
-        run_until(context, [&] { return !engine.requests.empty(); }));
+    BOOST_REQUIRE(run_until(context, [&] { return !engine.requests.empty(); }));
     const auto& sent = engine.requests.front();
     BOOST_TEST(has(sent, "Content-Length: 5\r\n"));
     BOOST_TEST(!has(sent, "Content-Length: 0"));
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -129,8 +129,8 @@
 {
     const http::header_list none;
     const auto protocol = platform::make_engine_protocol();
-    const auto text = protocol.write({"id1", "GET", "/a", "h", none, {}, "t1",
-                                      std::nullopt, std::nullopt});
+    const auto text = protocol.write(
+        {"id1", "GET", "/a", "h", none, {}, "t1", std::nullopt, std::nullopt});
     BOOST_TEST(!has(text, "Content-Length"));
     BOOST_TEST(!has(text, "Deadline"));
 }
@@ -140,30 +140,30 @@
 BOOST_AUTO_TEST_CASE(answers_are_told_apart)
 {
     const auto protocol = platform::make_engine_protocol();
-    const auto id = std::pair<std::string, std::string>{
-        "X-Tanagertrack-Request-Id", "id1"};
-    const auto other = std::pair<std::string, std::string>{
-        "X-Tanagertrack-Request-Id", "id0"};
-    const auto not_run = std::pair<std::string, std::string>{
-        "X-Tanagertrack-Not-Executed", "1"};
+    const auto id =
+        std::pair<std::string, std::string>{"X-Tanagertrack-Request-Id", "id1"};
+    const auto other =
+        std::pair<std::string, std::string>{"X-Tanagertrack-Request-Id", "id0"};
+    const auto not_run =
+        std::pair<std::string, std::string>{"X-Tanagertrack-Not-Executed", "1"};
     const targets::answer_context fresh{"id1", true};
     const targets::answer_context used{"id1", false};
     const auto& judge = protocol.classify;
     BOOST_TEST((judge(answer_with(200, {id}), used) == answer_kind::answer));
     BOOST_TEST((judge(answer_with(500, {id}), used) == answer_kind::answer));
-    BOOST_TEST((judge(answer_with(200, {other}), used) ==
-                answer_kind::foreign));
+    BOOST_TEST(
+        (judge(answer_with(200, {other}), used) == answer_kind::foreign));
     BOOST_TEST((judge(answer_with(200, {}), fresh) == answer_kind::foreign));
-    BOOST_TEST((judge(answer_with(503, {id, not_run}), used) ==
-                answer_kind::not_run));
+    BOOST_TEST(
+        (judge(answer_with(503, {id, not_run}), used) == answer_kind::not_run));
     BOOST_TEST((judge(answer_with(421, {id}), used) == answer_kind::not_run));
 
     // A 503 that does not say so may have run.
     BOOST_TEST((judge(answer_with(503, {id}), used) == answer_kind::answer));
-    BOOST_TEST((judge(answer_with(503, {not_run}), fresh) ==
-                answer_kind::not_run));
-    BOOST_TEST((judge(answer_with(503, {not_run}), used) ==
-                answer_kind::foreign));
+    BOOST_TEST(
+        (judge(answer_with(503, {not_run}), fresh) == answer_kind::not_run));
+    BOOST_TEST(
+        (judge(answer_with(503, {not_run}), used) == answer_kind::foreign));
     BOOST_TEST((judge(answer_with(503, {other, not_run}), fresh) ==
                 answer_kind::foreign));
 }
--- a/test/platform/test_records.cpp
+++ b/test/platform/test_records.cpp
@@ -63,18 +63,18 @@
     BOOST_TEST(is_skipped("{}", "address"));
     BOOST_TEST(
         is_skipped(with(announcement, "10.0.0.1:80", "no:where"), "address"));
-    BOOST_TEST(is_skipped(with(announcement, "\"10.0.0.1:80\"", "7"),
-                          "address"));
+    BOOST_TEST(
+        is_skipped(with(announcement, "\"10.0.0.1:80\"", "7"), "address"));
     BOOST_TEST(is_skipped(with(announcement, "ready", "sleeping"), "state"));
     BOOST_TEST(is_skipped(with(announcement, "\"s\"", "\"\""), "service"));
-    BOOST_TEST(is_skipped(with(announcement, "\"slots\":8", "\"slots\":0"),
-                          "slots"));
-    BOOST_TEST(is_skipped(with(announcement, "\"slots\":8", "\"slots\":-1"),
-                          "slots"));
+    BOOST_TEST(
+        is_skipped(with(announcement, "\"slots\":8", "\"slots\":0"), "slots"));
+    BOOST_TEST(
+        is_skipped(with(announcement, "\"slots\":8", "\"slots\":-1"), "slots"));
     BOOST_TEST(is_skipped(with(announcement, "\"slots\":8", "\"slots\":1e30"),
                           "slots"));
-    BOOST_TEST(is_skipped(with(announcement, "\"seq\":3", "\"seq\":\"3\""),
-                          "seq"));
+    BOOST_TEST(
+        is_skipped(with(announcement, "\"seq\":3", "\"seq\":\"3\""), "seq"));
 }
 
 BOOST_AUTO_TEST_CASE(configuration_is_decoded)
--- a/test/platform/test_store_client.cpp
+++ b/test/platform/test_store_client.cpp
@@ -111,8 +111,8 @@
         return append().ec;
     };
     BOOST_TEST((code(412, R"({"end":3})") == result_code::log_moved));
-    BOOST_TEST((code(409, R"({"why":"fenced"})") ==
-                result_code::producer_fenced));
+    BOOST_TEST(
+        (code(409, R"({"why":"fenced"})") == result_code::producer_fenced));
     BOOST_TEST((code(409, R"({"why":"seq","seq":4})") ==
                 result_code::producer_sequence));
     BOOST_TEST((code(507, "{}") == result_code::log_full));
@@ -147,8 +147,9 @@
     BOOST_TEST(it.first == 2);
     BOOST_TEST(it.end == 8);
     BOOST_TEST((it.records == std::vector<std::string>{"ab", "", "cde"}));
-    BOOST_TEST(has(server.requests.front(),
-                   "GET /tanagertrack/log-read?topic=t&part=3&from=5&maxKb=2 "));
+    BOOST_TEST(
+        has(server.requests.front(),
+            "GET /tanagertrack/log-read?topic=t&part=3&from=5&maxKb=2 "));
 }
 
 // Guards against records that are made up from a cut answer.
@@ -189,9 +190,9 @@
 
 BOOST_AUTO_TEST_CASE(all_pages_of_a_keyed_topic_are_read)
 {
-    server.add(whole_answer(
-        200, R"({"items":[{"key":"a","value":"eA==","offset":3}],)"
-             R"("hasMore":true,"end":9})"));
+    server.add(
+        whole_answer(200, R"({"items":[{"key":"a","value":"eA==","offset":3}],)"
+                          R"("hasMore":true,"end":9})"));
     server.add(whole_answer(
         200, R"({"items":[{"key":"b","value":"eQ==","offset":4},7],)"
              R"("hasMore":false,"end":12})"));
@@ -264,7 +265,8 @@
         return scripted_answer{whole_answer(200, R"({"offset":0,"end":1})")};
     };
     BOOST_TEST(!append().ec);
-    BOOST_TEST(run_until(context, [&] { return held; }, 1s));
+    BOOST_TEST(run_until(
+        context, [&] { return held; }, 1s));
 }
 
 BOOST_AUTO_TEST_CASE(last_contact_is_that_of_the_last_answer)
--- a/test/state/test_job_table.cpp
+++ b/test/state/test_job_table.cpp
@@ -86,9 +86,9 @@
                  const std::vector<std::uint32_t>& tokens)
     {
         add_part(job, "n", 0, tokens);
-        BOOST_REQUIRE((commit(job, "n",
-                              static_cast<std::uint32_t>(tokens.size())) ==
-                       commit_verdict::accepted));
+        BOOST_REQUIRE(
+            (commit(job, "n", static_cast<std::uint32_t>(tokens.size())) ==
+             commit_verdict::accepted));
     }
 
     void end_item(const std::string& job, std::uint32_t item,
@@ -367,8 +367,8 @@
     for (int n = 0; n < many; ++n)
         add_part("j", std::to_string(n), 0, {1});
     BOOST_TEST((commit("j", "first", 1) == commit_verdict::incomplete));
-    BOOST_TEST((commit("j", std::to_string(many - 1), 1) ==
-                commit_verdict::accepted));
+    BOOST_TEST(
+        (commit("j", std::to_string(many - 1), 1) == commit_verdict::accepted));
 }
 
 BOOST_AUTO_TEST_CASE(forgotten_job_holds_no_tokens)
--- a/test/store/test_partition_follower.cpp
+++ b/test/store/test_partition_follower.cpp
@@ -23,8 +23,8 @@
     fixture()
     {
         store::follower_hooks hooks;
-        hooks.on_records = [this](std::uint64_t offset,
-                                  std::span<const std::string> its)
+        hooks.on_records =
+            [this](std::uint64_t offset, std::span<const std::string> its)
         {
             BOOST_TEST(offset == records.size() + started_at);
             records.insert(records.end(), its.begin(), its.end());
@@ -90,8 +90,7 @@
 {
     follower->start(0);
     BOOST_TEST(run_until(context, [&] { return fake.reads >= 1; }));
-    fake.model.append({"t", 0, {"a", "b"}, {}, {}, 0, 0},
-                      common::clock::now());
+    fake.model.append({"t", 0, {"a", "b"}, {}, {}, 0, 0}, common::clock::now());
     bool confirmed = false;
     follower->confirm(0ms,
                       [&](std::error_code ec)
@@ -179,7 +178,8 @@
         {
             lists.push_back(keys);
         };
-        hooks.on_reachable = [](bool) {};
+        hooks.on_reachable = [](bool) {
+        };
         store::follower_settings settings;
         settings.wait = 20ms;
         settings.retry = {1ms, 2ms};
--- a/test/store/test_partition_writer.cpp
+++ b/test/store/test_partition_writer.cpp
@@ -48,14 +48,14 @@
 
     store::write_ticket append(const std::string& record, bool waits = true)
     {
-        return writer->append({record}, waits,
-                              [this, record](std::error_code ec,
-                                             std::uint64_t offset)
-                              {
-                                  BOOST_TEST(!results.contains(record));
-                                  results[record] = ec;
-                                  offsets[record] = offset;
-                              });
+        return writer->append(
+            {record}, waits,
+            [this, record](std::error_code ec, std::uint64_t offset)
+            {
+                BOOST_TEST(!results.contains(record));
+                results[record] = ec;
+                offsets[record] = offset;
+            });
     }
 
     std::vector<std::string> stored()
@@ -186,9 +186,9 @@
     fake.model.append({"t", 0, {"y"}, {}, "p", 1, 2}, common::clock::now());
     fake.model.append({"t", 0, {"z"}, {}, "p", 1, 3}, common::clock::now());
     for (int n = 0; n < 6; ++n)
-        fake.model.append({"t", 0, {"z"}, {}, "p", 1,
-                           static_cast<std::uint64_t>(4 + n)},
-                          common::clock::now());
+        fake.model.append(
+            {"t", 0, {"z"}, {}, "p", 1, static_cast<std::uint64_t>(4 + n)},
+            common::clock::now());
     append("b");
     BOOST_TEST(settled());
     BOOST_TEST(!results["b"]);
--- a/test/support/event_loop.hpp
+++ b/test/support/event_loop.hpp
@@ -11,10 +11,9 @@
 
 /// Runs handlers until the condition holds. False: it did not in time; no
 /// working part needs the default.
-inline bool
-run_until(boost::asio::io_context& context,
-          const std::function<bool()>& condition,
-          std::chrono::milliseconds time = std::chrono::seconds(20))
+inline bool run_until(boost::asio::io_context& context,
+                      const std::function<bool()>& condition,
+                      std::chrono::milliseconds time = std::chrono::seconds(20))
 {
     const auto deadline = std::chrono::steady_clock::now() + time;
     while (!condition())
@@ -31,7 +30,8 @@
 inline void run_for(boost::asio::io_context& context,
                     std::chrono::milliseconds time)
 {
-    run_until(context, [] { return false; }, time);
+    run_until(
+        context, [] { return false; }, time);
 }
 
 /// Runs what is ready, and what becomes ready by it.
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -74,8 +74,8 @@
     {
         if (late_.empty())
             return false;
-        const auto at = late_.begin() +
-                        static_cast<std::ptrdiff_t>(below(late_.size()));
+        const auto at =
+            late_.begin() + static_cast<std::ptrdiff_t>(below(late_.size()));
         const auto call = *at;
         late_.erase(at);
         model.append(call, now());
@@ -204,8 +204,7 @@
         store::read_result result;
         if (read_fate() != call_fate::done)
         {
-            result.ec =
-                make_error_code(common::result_code::log_unavailable);
+            result.ec = make_error_code(common::result_code::log_unavailable);
             return answer([done = std::move(done), result] { done(result); });
         }
         auto found = model.read(call.from.topic, call.from.partition,
@@ -229,8 +228,8 @@
         auto again = call;
         again.wait = {};
         const auto told = std::make_shared<bool>(false);
-        const auto timer = std::make_shared<boost::asio::steady_timer>(
-            context_, call.wait);
+        const auto timer =
+            std::make_shared<boost::asio::steady_timer>(context_, call.wait);
         const auto end = [this, again, told, done = std::move(done)]
         {
             if (!std::exchange(*told, true))
@@ -255,8 +254,7 @@
     {
         store::newest_result result;
         if (read_fate() != call_fate::done)
-            result.ec =
-                make_error_code(common::result_code::log_unavailable);
+            result.ec = make_error_code(common::result_code::log_unavailable);
         else
         {
             for (const auto& it :
@@ -271,14 +269,12 @@
     {
         store::join_result result;
         if (read_fate() != call_fate::done)
-            result.ec =
-                make_error_code(common::result_code::log_unavailable);
+            result.ec = make_error_code(common::result_code::log_unavailable);
         else
         {
             std::vector<standin::model_share> share;
-            result.generation =
-                model.join(call.group, call.member, call.topics,
-                           call.session_timeout, now(), share);
+            result.generation = model.join(call.group, call.member, call.topics,
+                                           call.session_timeout, now(), share);
             for (const auto& it : share)
                 result.partitions.push_back({it.topic, it.partition});
             last_contact = now();
@@ -291,8 +287,7 @@
     {
         store::owners_result result;
         if (read_fate() != call_fate::done)
-            result.ec =
-                make_error_code(common::result_code::log_unavailable);
+            result.ec = make_error_code(common::result_code::log_unavailable);
         else
         {
             for (const auto& it : model.owners(group, now()))
--- a/test/targets/test_attempt.cpp
+++ b/test/targets/test_attempt.cpp
@@ -21,9 +21,8 @@
 struct fixture
 {
     fixture()
-        : where(new targets::target(context, "t",
-                                    make_announcement(server.address()),
-                                    no_hook))
+        : where(new targets::target(
+              context, "t", make_announcement(server.address()), no_hook))
     {
     }
 
@@ -75,8 +74,7 @@
         return *end;
     }
 
-    const std::function<void()> no_hook = []
-    {
+    const std::function<void()> no_hook = [] {
     };
     boost::asio::io_context context;
     scripted_server server{context};
@@ -252,9 +250,9 @@
 // An early answer leaves bytes of the request that the target may still read.
 BOOST_AUTO_TEST_CASE(connection_closes_after_an_interim_and_final_answer)
 {
-    server.add("HTTP/1.1 100 Continue\r\n\r\n" +
-               whole_answer(200, "ok", answers_to("a") +
-                                           "Connection: close\r\n"));
+    server.add(
+        "HTTP/1.1 100 Continue\r\n\r\n" +
+        whole_answer(200, "ok", answers_to("a") + "Connection: close\r\n"));
     BOOST_TEST((run("a").what == outcome::complete));
     BOOST_TEST(body == "ok");
     BOOST_TEST(where->resting() == 0);
