Keep the state of jobs beyond the store's retention

Cause: the store drops records after queueTtlS (300 s), and a process that starts later folds the log from its first kept record: open jobs, results and outcomes of calls that run once were lost for it.

Change: the leader appends a checkpoint of the fold four times in the retention; readers whose first records expired search for the newest one.

The follower itself now tells when it reached the end, and does not let the store hold a read back before that.

--- a/src/api/result_stream.cpp
+++ b/src/api/result_stream.cpp
@@ -144,8 +144,9 @@
     if (ec || job == nullptr)
         return fail(make_error_code(result_code::log_unavailable));
     std::string lines;
-    auto index = record.part().first_item();
-    for (const auto& it : record.part().items())
+    const auto& part = batch::part_of(record);
+    auto index = part.first_item();
+    for (const auto& it : part.items())
     {
         if (job->items[index].state == proto::ITEM_OPEN)
             lines += cancelled_line(job_, it.id());
--- /dev/null
+++ b/src/batch/checkpointer.cpp
@@ -0,0 +1,50 @@
+#include "batch/checkpointer.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <utility>
+
+namespace tanagertrack::batch
+{
+
+namespace
+{
+
+/// Checkpoints in the time for which records are kept: a reader finds one
+/// though some were not written.
+constexpr int checkpoints_per_retention = 4;
+
+/// Looks between two checkpoints.
+constexpr int looks_per_interval = 8;
+
+} // namespace
+
+checkpointer::checkpointer(boost::asio::io_context& context, job_log& jobs,
+                           std::chrono::milliseconds retention,
+                           std::function<bool()> is_leader)
+    : jobs_(jobs), interval_(retention / checkpoints_per_retention),
+      is_leader_(std::move(is_leader)), timer_(context)
+{
+}
+
+void checkpointer::start()
+{
+    timer_.expires_after(interval_ / looks_per_interval);
+    timer_.async_wait(
+        [this](const auto& ec)
+        {
+            if (ec)
+                return;
+            look();
+            start();
+        });
+}
+
+void checkpointer::look()
+{
+    const auto age = common::clock::now() - jobs_.last_checkpoint();
+    if (is_leader_() && jobs_.is_current() && age >= interval_)
+        jobs_.append_checkpoint();
+}
+
+} // namespace tanagertrack::batch
--- a/src/batch/job_log.cpp
+++ b/src/batch/job_log.cpp
@@ -1,5 +1,6 @@
 #include "batch/job_log.hpp"
 
+#include "common/hash.hpp"
 #include "common/logging.hpp"
 #include "common/result_code.hpp"
 
@@ -43,14 +44,16 @@
     {
         common::log_info(reachable ? "store_regained" : "store_lost",
                          {{"topic", place().topic}});
-        if (reachable && !current_)
-            note_current();
         for (const auto& it : listeners_)
         {
             if (it.on_reachable)
                 it.on_reachable(reachable);
         }
     };
+    hooks.on_caught_up = [this]
+    {
+        take_end();
+    };
     follower_ = std::make_shared<store::partition_follower>(
         context, service, place(), settings_.reading, std::move(hooks));
     writer_ = std::make_shared<store::partition_writer>(
@@ -104,7 +107,6 @@
 void job_log::start()
 {
     follower_->start(0);
-    note_current();
 }
 
 void job_log::stop()
@@ -113,22 +115,19 @@
     writer_->stop();
 }
 
-void job_log::note_current()
+void job_log::take_end()
 {
-    follower_->confirm(
-        std::chrono::milliseconds(0),
-        [this](std::error_code ec)
-        {
-            if (ec || std::exchange(current_, true))
-                return;
-            common::log_info("jobs_read", {{"offset", follower_->next_offset()},
-                                           {"jobs", table_.size()}});
-            for (const auto& it : listeners_)
-            {
-                if (it.on_current)
-                    it.on_current();
-            }
-        });
+    if (searched_from_)
+        return start_from_checkpoint();
+    if (std::exchange(current_, true))
+        return;
+    common::log_info("jobs_read", {{"offset", follower_->next_offset()},
+                                   {"jobs", table_.size()}});
+    for (const auto& it : listeners_)
+    {
+        if (it.on_current)
+            it.on_current();
+    }
 }
 
 void job_log::take_records(std::uint64_t offset,
@@ -138,7 +137,7 @@
     {
         proto::JobRecord record;
         if (record.ParseFromString(it))
-            table_.apply(offset, record);
+            take_record(offset, record);
         else
             common::log_warning("job_record_skipped",
                                 {{"offset", offset}, {"bytes", it.size()}});
@@ -146,13 +145,68 @@
     }
 }
 
+void job_log::take_record(std::uint64_t offset, const proto::JobRecord& record)
+{
+    if (record.has_checkpoint())
+        last_checkpoint_ = common::clock::now();
+    if (!searched_from_)
+        return table_.apply(offset, record);
+    if (record.has_checkpoint() &&
+        record.checkpoint().as_of() >= *searched_from_)
+        checkpoints_.take(record.checkpoint());
+}
+
 void job_log::take_expired(std::uint64_t first)
 {
+    // What the first records said is in a checkpoint. It is searched for from
+    // the first record to the end before any record is applied.
     common::log_warning("job_records_expired", {{"first", first}});
-    table_.clear();
-    follower_->start(first);
     current_ = false;
-    note_current();
+    searched_from_ = first;
+    checkpoints_.clear();
+    follower_->start(first);
+}
+
+void job_log::start_from_checkpoint()
+{
+    auto from = *searched_from_;
+    searched_from_.reset();
+    if (const auto& found = checkpoints_.newest())
+    {
+        from = found->as_of;
+        load_checkpoint(table_, *found);
+    }
+    else
+    {
+        common::log_error("job_checkpoint_missing", {{"first", from}});
+        table_.clear();
+    }
+    checkpoints_.clear();
+    common::log_info("job_checkpoint_loaded",
+                     {{"as_of", from}, {"jobs", table_.size()}});
+    for (const auto& it : listeners_)
+    {
+        if (it.on_loaded)
+            it.on_loaded();
+    }
+    follower_->start(from);
+}
+
+void job_log::append_checkpoint()
+{
+    auto records = state::make_checkpoint(table_, follower_->next_offset(),
+                                          common::random_id(),
+                                          settings_.max_checkpoint_part_bytes);
+    common::log_info("job_checkpoint", {{"as_of", follower_->next_offset()},
+                                        {"jobs", table_.size()},
+                                        {"records", records.size()}});
+    for (const auto& it : records)
+        append(it);
+}
+
+const proto::JobPart& part_of(const proto::JobRecord& record)
+{
+    return record.has_part_copy() ? record.part_copy().part() : record.part();
 }
 
 void job_log::read_record(
--- a/src/batch/job_log.hpp
+++ b/src/batch/job_log.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERTRACK_BATCH_JOB_LOG_HPP
 #define TANAGERTRACK_BATCH_JOB_LOG_HPP
 
+#include "state/job_checkpoint.hpp"
 #include "state/job_table.hpp"
 #include "store/partition_follower.hpp"
 #include "store/partition_writer.hpp"
@@ -9,6 +10,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -24,6 +27,10 @@
     /// All records were read for the first time.
     std::function<void()> on_current;
 
+    /// The state was replaced by that of a checkpoint, without any news of
+    /// the changes in between.
+    std::function<void()> on_loaded;
+
     /// The store began or ceased to answer.
     std::function<void(bool)> on_reachable;
 };
@@ -36,11 +43,15 @@
     store::follower_settings reading;
     store::writer_settings writing;
 
-    /// Records of an append; a larger submission takes several.
-    std::size_t max_append_bytes = 2UL * 1024 * 1024;
+    /// Bytes of a checkpoint's record, below the largest record of the store.
+    std::size_t max_checkpoint_part_bytes = 64UL * 1024;
 };
 
-/// The topic of jobs: follows it, keeps its fold, and appends to it. One
+/// Items of a part of a job, from the record in which they are.
+const proto::JobPart& part_of(const proto::JobRecord& record);
+
+/// The topic of jobs: follows it, keeps its fold, and appends to it. Where the
+/// first records have expired, the fold starts from the newest checkpoint. One
 /// thread.
 class job_log
 {
@@ -113,6 +124,16 @@
         std::uint64_t offset,
         std::function<void(std::error_code, const proto::JobRecord&)> handler);
 
+    /// Appends the whole state, for readers that come after the records that
+    /// it follows from have expired.
+    void append_checkpoint();
+
+    /// When the last record of a checkpoint was read, or this object was made.
+    common::time_point last_checkpoint() const
+    {
+        return last_checkpoint_;
+    }
+
     /// Forgets a job whose results need not be kept any more.
     void forget(const std::string& id)
     {
@@ -134,8 +155,10 @@
 private:
     state::job_table_hooks make_hooks();
     void take_records(std::uint64_t offset, std::span<const std::string> its);
+    void take_record(std::uint64_t offset, const proto::JobRecord& record);
     void take_expired(std::uint64_t first);
-    void note_current();
+    void take_end();
+    void start_from_checkpoint();
 
     store::store_service service_;
     job_log_settings settings_;
@@ -144,6 +167,12 @@
     std::shared_ptr<store::partition_follower> follower_;
     std::shared_ptr<store::partition_writer> writer_;
     bool current_ = false;
+
+    /// Set while the records are searched for a checkpoint: first offset that
+    /// the store keeps.
+    std::optional<std::uint64_t> searched_from_;
+    state::checkpoint_reader checkpoints_;
+    common::time_point last_checkpoint_ = common::clock::now();
 };
 
 } // namespace tanagertrack::batch
--- a/src/batch/membership.cpp
+++ b/src/batch/membership.cpp
@@ -39,6 +39,12 @@
         if (it.gone && leader_)
             adopt_orphans();
     };
+    listener.on_loaded = [this]
+    {
+        const auto* own = jobs_.table().find_member(jobs_.member());
+        if (started_ && (own == nullptr || own->gone))
+            announce();
+    };
     jobs_.add_listener(std::move(listener));
 }
 
@@ -170,6 +176,12 @@
     return !listed && !works;
 }
 
+bool membership::cares_for(const std::string& runner) const
+{
+    return runner == jobs_.member() ||
+           (leader_ && is_gone(runner, common::clock::now()));
+}
+
 std::vector<std::string> membership::live_members(common::time_point now) const
 {
     std::vector<std::string> live{jobs_.member()};
--- a/src/batch/results.cpp
+++ b/src/batch/results.cpp
@@ -228,7 +228,7 @@
                  [place, done](std::error_code result,
                                const proto::JobRecord& record)
                  {
-                     const auto& items = record.part().items();
+                     const auto& items = part_of(record).items();
                      if (!result &&
                          place >= static_cast<std::uint32_t>(items.size()))
                          result = make_error_code(result_code::log_unavailable);
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -87,6 +87,10 @@
     {
         take_intent(intent, verdict);
     };
+    listener.on_loaded = [this]
+    {
+        take_loaded_state();
+    };
     return listener;
 }
 
@@ -161,6 +165,33 @@
     pump_soon();
 }
 
+void runner::take_loaded_state()
+{
+    std::vector<std::string> lost;
+    for (auto& [id, run] : runs_)
+    {
+        const auto* job = jobs_.table().find(id);
+        if (job == nullptr || !job->is_open() || job->runner != jobs_.member())
+        {
+            lost.push_back(id);
+            continue;
+        }
+        for (const auto& [index, item] : std::map(run.items))
+        {
+            if (job->items[index].state != proto::ITEM_OPEN)
+                forget_item(run, item);
+        }
+    }
+    for (const auto& it : lost)
+        drop_job(it);
+    jobs_.table().for_each(
+        [this](const state::batch_job& job)
+        {
+            if (job.runner == jobs_.member() && !runs_.contains(job.id))
+                take_job(job);
+        });
+}
+
 void runner::drop_job(const std::string& id)
 {
     const auto found = runs_.find(id);
@@ -232,7 +263,7 @@
         return;
     }
     ++run.next_part;
-    const auto& part = record.part();
+    const auto& part = part_of(record);
     add_items(run, *known, part.first_item(),
               {part.items().begin(), part.items().end()});
     pump_soon();
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -88,6 +88,7 @@
 
     // Jobs.
     void take_job(const state::batch_job& job);
+    void take_loaded_state();
     void drop_job(const std::string& id);
     void load_more(common::time_point now);
     void load_part(job_run& run, const state::batch_job& job);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -53,8 +53,8 @@
                       16777216, "largest record");
     table.add_integer("store.max_append_bytes", it.max_append_bytes, 1024,
                       67108864, "records of one append");
-    table.add_ms("store.retention_ms", it.retention, 1000, 8760 * hour_ms,
-                 "time for which records are kept");
+    table.add_seconds("store.retention_s", it.retention, 1, 365 * day_s,
+                      "time for which records are kept");
     table.add_ms("store.min_session_ms", it.min_session, 10, 60000,
                  "shortest session time-out of a group's member");
     table.add_ms("store.call_timeout_ms", it.call_timeout, 10, 60000,
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -126,6 +126,10 @@
       members_(context, parts_.store, jobs_, member_settings(settings),
                make_membership_hooks()),
       retention_(context, jobs_, retention_settings(settings)),
+      checkpoints_(context, jobs_, settings.store.retention,
+                   [this] { return members_.is_leader(); }),
+      mover_(context, jobs_, texts_, settings.store.retention,
+             [this](const std::string& it) { return members_.cares_for(it); }),
       exchange_(
           context, targets_, member_, peers::exchange_settings(),
           [this] { return own_state(); },
@@ -212,6 +216,13 @@
         else
             exchange_.add_peer(it.id, {it.address, it.port});
     };
+    listener.on_loaded = [this]
+    {
+        jobs_.table().for_each_member(
+            [this](const state::batch_member& it) {
+                exchange_.add_peer(it.id, {it.address, it.port});
+            });
+    };
     return listener;
 }
 
@@ -232,6 +243,8 @@
     items_.start();
     members_.start();
     retention_.start();
+    checkpoints_.start();
+    mover_.start();
 }
 
 void entry_core::stop()
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -1,11 +1,13 @@
 #ifndef TANAGERTRACK_ENTRY_ENTRY_CORE_HPP
 #define TANAGERTRACK_ENTRY_ENTRY_CORE_HPP
 
+#include "batch/checkpointer.hpp"
 #include "batch/environment.hpp"
 #include "batch/intake.hpp"
 #include "batch/job_log.hpp"
 #include "batch/membership.hpp"
 #include "batch/once_calls.hpp"
+#include "batch/record_mover.hpp"
 #include "batch/result_recorder.hpp"
 #include "batch/results.hpp"
 #include "batch/retention.hpp"
@@ -180,6 +182,8 @@
     batch::once_calls calls_;
     batch::membership members_;
     batch::retention retention_;
+    batch::checkpointer checkpoints_;
+    batch::record_mover mover_;
     peers::load_exchange exchange_;
 };
 
--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -65,6 +65,10 @@
         return apply_call_outcome(offset, record.call_outcome());
     case proto::JobRecord::kCallForgotten:
         return apply_call_forgotten(record.call_forgotten());
+    case proto::JobRecord::kMoved:
+        return apply_moved(record.moved());
+    case proto::JobRecord::kCheckpoint:
+    case proto::JobRecord::kPartCopy:
     case proto::JobRecord::KIND_NOT_SET:
         return;
     }
@@ -111,7 +115,9 @@
     const auto verdict = judge(commit);
     if (verdict == commit_verdict::accepted)
         accept(offset, commit);
-    intakes_.erase(intake_key(commit.job(), commit.intake()));
+    const auto key = intake_key(commit.job(), commit.intake());
+    if (intakes_.erase(key) != 0)
+        intake_order_.erase(std::ranges::find(intake_order_, key));
     if (hooks_.on_commit)
         hooks_.on_commit(commit, verdict);
 }
@@ -264,9 +270,12 @@
                                    const proto::CallOutcome& outcome)
 {
     const auto it = calls_.find(outcome.call());
-    if (it == calls_.end() || it->second.outcome_at)
+    if (it == calls_.end() ||
+        it->second.outcome_at.has_value() != outcome.copied())
         return;
     it->second.outcome_at = offset;
+    if (outcome.copied())
+        return;
     if (hooks_.on_call_ended)
         hooks_.on_call_ended(outcome.call());
 }
@@ -284,6 +293,39 @@
         hooks_.on_call_ended(forgotten.call());
 }
 
+void job_table::apply_moved(const proto::JobMoved& moved)
+{
+    auto* it = find_mutable(moved.job());
+    if (it == nullptr)
+        return;
+    for (const auto& place : moved.parts())
+    {
+        const auto part = std::ranges::find(it->parts, place.first_item(),
+                                            &job_part::first_item);
+        if (part != it->parts.end())
+            part->offset = place.offset();
+    }
+    for (const auto& place : moved.results())
+    {
+        const bool known = place.item() < it->items.size() &&
+                           it->items[place.item()].state == place.state() &&
+                           place.state() != proto::ITEM_OPEN;
+        if (known)
+            it->items[place.item()].text = {place.text_partition(),
+                                            place.text_offset()};
+    }
+    for (const auto& place : moved.progress())
+    {
+        // A later record of progress has a later text.
+        const auto known = it->progress.find(place.item());
+        if (known != it->progress.end() &&
+            known->second.last_event == place.last_event())
+            known->second.text = {place.text_partition(), place.text_offset()};
+    }
+    if (moved.complete() && hooks_.on_moved)
+        hooks_.on_moved(*it);
+}
+
 void job_table::apply_started(const proto::MemberStarted& started)
 {
     for (auto& [id, it] : members_)
--- a/src/state/job_table.hpp
+++ b/src/state/job_table.hpp
@@ -174,6 +174,9 @@
 
     /// The outcome of a call was read, or that it did not run.
     std::function<void(const std::string& call)> on_call_ended;
+
+    /// All that is kept of a job has new places.
+    std::function<void(const batch_job&)> on_moved;
 };
 
 /// All batch jobs: the fold of the topic "jobs". A function of the records
@@ -192,6 +195,8 @@
 /// - A start of a process makes others of its host gone. A process that finds
 ///   itself gone, by a late write of an earlier one, starts again.
 /// - Of the submissions without a commit, the last ones are kept.
+/// - Copies of items and texts, and the records that tell their places, change
+///   nothing but places.
 /// - Records that can't be read, or that speak of unknown jobs, are skipped.
 class job_table
 {
@@ -242,6 +247,9 @@
     void forget(const std::string& id);
 
 private:
+    /// Saves and loads the state.
+    friend class job_table_saver;
+
     /// Parts of a submission that is not accepted.
     struct intake
     {
@@ -263,6 +271,7 @@
     void apply_call_outcome(std::uint64_t offset,
                             const proto::CallOutcome& outcome);
     void apply_call_forgotten(const proto::CallForgotten& forgotten);
+    void apply_moved(const proto::JobMoved& moved);
     void apply_started(const proto::MemberStarted& started);
     void apply_stopped(const proto::MemberStopped& stopped);
     void release_tokens(const batch_job& job, std::uint64_t tokens);
@@ -274,6 +283,8 @@
     /// Ids by the offset of acceptance.
     std::map<std::uint64_t, std::string> accepted_;
     std::map<std::string, intake, std::less<>> intakes_;
+
+    /// Keys of the intakes, oldest first.
     std::deque<std::string> intake_order_;
     std::map<std::string, std::uint64_t, std::less<>> waiting_;
     std::map<std::string, batch_member, std::less<>> members_;
--- a/src/store/partition_follower.cpp
+++ b/src/store/partition_follower.cpp
@@ -28,6 +28,8 @@
 
 void partition_follower::start(std::uint64_t offset)
 {
+    if (running_)
+        stop();
     ++run_;
     next_ = offset;
     running_ = true;
@@ -59,7 +61,8 @@
     call.from = what_;
     call.offset = next_;
     call.max_bytes = settings_.max_bytes;
-    call.wait = settings_.wait;
+    // Until the end was reached once, an empty answer is news.
+    call.wait = current_as_of_ ? settings_.wait : milliseconds(0);
     service_.read(call, [self = shared_from_this(), run = run_, now,
                          offset = next_](const read_result& result)
                   { self->take(run, now, offset, result); });
@@ -123,9 +126,13 @@
         hooks_.on_records(first, fresh);
     if (run != run_)
         return false;
-    if (next_ >= result.end)
-        current_as_of_ = std::max(started, current_as_of_.value_or(started));
-    return true;
+    if (next_ < result.end)
+        return true;
+    const bool caught_up = !current_as_of_.has_value();
+    current_as_of_ = std::max(started, current_as_of_.value_or(started));
+    if (caught_up && hooks_.on_caught_up)
+        hooks_.on_caught_up();
+    return run == run_;
 }
 
 void partition_follower::note_reachable(bool reachable)
--- a/src/store/partition_follower.hpp
+++ b/src/store/partition_follower.hpp
@@ -48,6 +48,9 @@
 
     /// The store began or ceased to answer.
     std::function<void(bool reachable)> on_reachable;
+
+    /// All records were read for the first time since the start.
+    std::function<void()> on_caught_up;
 };
 
 /// Reads the records of one partition as they come. One thread; pending calls
--- a/test/batch/explorer.hpp
+++ b/test/batch/explorer.hpp
@@ -54,6 +54,9 @@
 
     /// Submissions whose outcome was not known at their deadline.
     unsigned open_outcomes = 0;
+
+    /// Times at which records expired that a reader has to do without.
+    unsigned expiries = 0;
 };
 
 /// The batch state of one process, without what runs items: the explorer
@@ -180,6 +183,8 @@
     void end_call();
     void ask_item();
     void restart_node();
+    void write_checkpoint();
+    void expire_records();
     void add_node(std::size_t place);
     void draw_fates();
     batch::job_listener make_listener(const std::string& name);
@@ -190,6 +195,7 @@
     void check_jobs(const state::job_table& truth);
     void check_nodes(const state::job_table& truth);
     void check_texts(const state::job_table& truth);
+    void collect_records();
     state::job_table fold_log();
     void fail(const std::string& what);
 
@@ -205,6 +211,12 @@
     std::map<std::string, call_history> calls_;
     unsigned attempts_ = 0;
 
+    /// All records of the jobs, also those that have expired.
+    std::vector<std::string> records_;
+
+    /// Offset of the newest checkpoint that is complete in the log.
+    state::checkpoint_reader checkpoints_;
+
     /// Permitted calls that are neither reported nor taken back: call,
     /// attempt, and the process.
     std::vector<std::pair<std::string, std::string>> running_calls_;
--- a/test/store/test_partition_follower.cpp
+++ b/test/store/test_partition_follower.cpp
@@ -37,6 +37,10 @@
         {
             reachable.push_back(it);
         };
+        hooks.on_caught_up = [this]
+        {
+            caught_up.push_back(follower->next_offset());
+        };
         store::follower_settings settings;
         settings.wait = 20ms;
         settings.retry = {1ms, 2ms};
@@ -65,6 +69,7 @@
     std::vector<std::string> records;
     std::vector<std::uint64_t> expired;
     std::vector<bool> reachable;
+    std::vector<std::uint64_t> caught_up;
 };
 
 } // namespace
@@ -84,6 +89,29 @@
     BOOST_TEST(follower->next_offset() == 3);
 }
 
+// Guards against a follower that starts while the store fails, or at an empty
+// partition, and never says that it has read all.
+BOOST_AUTO_TEST_CASE(end_is_told_once_for_each_start)
+{
+    unsigned failures = 2;
+    fake.read_fate = [&]
+    {
+        return failures > 0 && failures-- > 0 ? call_fate::refused
+                                              : call_fate::done;
+    };
+    follower->start(0);
+    BOOST_TEST(run_until(context, [&] { return caught_up.size() == 1; }));
+    append("a");
+    BOOST_TEST(run_until(context, [&] { return records.size() == 1; }));
+    test::run_for(context, 50ms);
+    BOOST_TEST(caught_up.size() == 1);
+    started_at = 1;
+    records.clear();
+    follower->start(1);
+    BOOST_TEST(run_until(context, [&] { return caught_up.size() == 2; }));
+    BOOST_TEST(caught_up.back() == 1);
+}
+
 // A confirmation reads beside the read that is held back; the records of both
 // must be told once.
 BOOST_AUTO_TEST_CASE(confirmation_covers_what_was_appended_before)
