Try the store again with the next entry after a refused append

Cause: a writer whose append was refused was 'unreachable' until an append was done, refused every entry meanwhile, and had nothing queued that it would try. Ruled out: the limit of waiting tokens (no line of it) and the follower (current=1).

Change: with an empty queue and after its pause the writer lets one entry find out. The new test fails before it.

--- a/src/store/partition_writer.cpp
+++ b/src/store/partition_writer.cpp
@@ -50,7 +50,7 @@
         it.done(make_error_code(result_code::ring_full), 0);
         return it.ticket;
     }
-    if (!waits_for_store && !reachable_)
+    if (!waits_for_store && !reachable())
     {
         it.done(make_error_code(result_code::log_unavailable), 0);
         return it.ticket;
--- a/src/store/partition_writer.hpp
+++ b/src/store/partition_writer.hpp
@@ -62,10 +62,11 @@
     /// appended; its handler is not called.
     bool withdraw(write_ticket ticket);
 
-    /// Whether the last call was answered.
+    /// Whether the last call was done, or nothing is left of it and its pause
+    /// is over, so that the next entry is the one that finds out.
     bool reachable() const
     {
-        return reachable_;
+        return reachable_ || (queue_.empty() && !waiting_);
     }
 
     /// Entries that are not appended yet.
--- a/test/store/test_partition_writer.cpp
+++ b/test/store/test_partition_writer.cpp
@@ -176,6 +176,21 @@
     BOOST_TEST((stored() == texts{"a"}));
 }
 
+// Guards against a writer that refuses all entries for ever because nothing is
+// left that it would try.
+BOOST_AUTO_TEST_CASE(refused_writer_tries_again_with_the_next_entry)
+{
+    fates = {call_fate::refused};
+    append("a", false);
+    BOOST_TEST(run_until(context, [&] { return results.contains("a"); }));
+    BOOST_TEST((results["a"] == result_code::log_unavailable));
+    BOOST_TEST(run_until(context, [&] { return writer->reachable(); }));
+    append("b", false);
+    BOOST_TEST(settled());
+    BOOST_TEST(!results["b"]);
+    BOOST_TEST((stored() == texts{"b"}));
+}
+
 // A store that lost the producer's state asks for another number.
 BOOST_AUTO_TEST_CASE(unknown_sequence_starts_an_epoch)
 {
