Repeat calls of the command-line tool that are refused as not run

Other refusals and broken connections are not. Options that are numbers must be numbers as a whole; '--timeout-ms 5x' was taken as 5. The test of the repeat fails without the loop.

--- a/src/cli/answers.cpp
+++ b/src/cli/answers.cpp
@@ -40,6 +40,16 @@
     return execution == "may_have_run" ? exit_may_have_run : exit_failed;
 }
 
+bool is_refused_as_not_run(const api_answer& answer)
+{
+    if (answer.status < 400)
+        return false;
+    const auto body = parse_object(answer.body);
+    const auto* error = body.if_contains("error");
+    return error != nullptr && error->is_object() &&
+           member_text(error->get_object(), "execution") == "not_run";
+}
+
 bool succeeded(const api_answer& answer)
 {
     return answer.status >= 200 && answer.status < 300;
--- a/src/cli/answers.hpp
+++ b/src/cli/answers.hpp
@@ -15,6 +15,9 @@
 /// Errors with a numbered code say whether the request ran.
 int report_failure(const api_answer& answer, std::ostream& err);
 
+/// Whether the entry says that nothing of the request ran.
+bool is_refused_as_not_run(const api_answer& answer);
+
 /// Whether the answer has a status from 200 to 299.
 bool succeeded(const api_answer& answer);
 
--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -1,13 +1,18 @@
 #include "cli/api_client.hpp"
 
+#include "cli/answers.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdint>
+#include <thread>
 
 namespace tanagertrack::cli
 {
@@ -22,6 +27,10 @@
 constexpr std::uint64_t max_answer_bytes = 64ULL * 1024 * 1024;
 constexpr std::size_t piece_bytes = 64 * 1024;
 
+/// Longest pause before a call is repeated, whatever the entry asks for: the
+/// tool serves one caller who waits for it.
+constexpr std::chrono::milliseconds max_pause{1000};
+
 /// A connection on which each operation ends at the timeout. Beast applies
 /// its timeouts to asynchronous operations only, so each one is started
 /// asynchronously and run to its end here.
@@ -164,6 +173,15 @@
     return {};
 }
 
+/// Value of Retry-After in seconds; 0 if absent or not a number.
+std::chrono::seconds parse_retry_after(std::string_view text)
+{
+    unsigned n = 0;
+    const auto* end = text.data() + text.size();
+    const auto [at, ec] = std::from_chars(text.data(), end, n);
+    return std::chrono::seconds(ec == std::errc() && at == end ? n : 0);
+}
+
 } // namespace
 
 api_client::api_client(api_settings settings) : settings_(std::move(settings))
@@ -185,6 +203,23 @@
 }
 
 api_answer api_client::stream(const api_request& request, const sink& out) const
+{
+    const auto give_up =
+        std::chrono::steady_clock::now() + settings_.retry_time;
+    while (true)
+    {
+        auto answer = stream_once(request, out);
+        const auto pause =
+            std::min<std::chrono::milliseconds>(answer.retry_after, max_pause);
+        const bool repeats = pause.count() > 0 && is_refused_as_not_run(answer);
+        if (!repeats || std::chrono::steady_clock::now() + pause > give_up)
+            return answer;
+        std::this_thread::sleep_for(pause);
+    }
+}
+
+api_answer api_client::stream_once(const api_request& request,
+                                   const sink& out) const
 {
     connection peer(settings_);
     if (const auto ec = peer.connect())
@@ -202,6 +237,9 @@
     api_answer answer;
     answer.status = parser.get().result_int();
     answer.sent = true;
+    const auto retry_after = parser.get()[http::field::retry_after];
+    answer.retry_after =
+        parse_retry_after({retry_after.data(), retry_after.size()});
     if (const auto ec = read_body(peer, parser, out, answer))
         return failed(ec, true);
     return answer;
--- a/src/cli/api_client.hpp
+++ b/src/cli/api_client.hpp
@@ -21,6 +21,9 @@
 
     /// Time without progress after which a call fails.
     std::chrono::milliseconds timeout{30000};
+
+    /// Time within which a call is repeated that an entry refuses as not run.
+    std::chrono::milliseconds retry_time{10000};
 };
 
 /// One call.
@@ -50,10 +53,14 @@
 
     /// Whether the request was written before the failure.
     bool sent = false;
+
+    /// When the entry asks to repeat the call; 0 if it does not say so.
+    std::chrono::seconds retry_after{0};
 };
 
 /// Blocking HTTP/1.1 client of the callers' and operators' listeners. Each
-/// call uses a connection of its own. One thread.
+/// call uses a connection of its own. A call that was refused as not run, by an
+/// entry that says when to come back, is repeated. One thread.
 class api_client
 {
 public:
@@ -70,6 +77,8 @@
     api_answer stream(const api_request& request, const sink& out) const;
 
 private:
+    api_answer stream_once(const api_request& request, const sink& out) const;
+
     api_settings settings_;
 };
 
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -5,6 +5,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <charconv>
 #include <map>
 #include <ostream>
 
@@ -15,6 +16,7 @@
 {
 
 constexpr int max_timeout_ms = 3600000;
+constexpr int max_retry_ms = 3600000;
 
 struct listener_names
 {
@@ -31,6 +33,17 @@
     return {"entry", "TANAGERTRACK_ENTRY", "TANAGERTRACK_KEY"};
 }
 
+/// A whole text that is a number, none otherwise.
+std::optional<int> parse_number(std::string_view text)
+{
+    int n = 0;
+    const auto* end = text.data() + text.size();
+    const auto [at, ec] = std::from_chars(text.data(), end, n);
+    if (ec != std::errc() || at != end || n < 0)
+        return std::nullopt;
+    return n;
+}
+
 } // namespace
 
 struct options::impl
@@ -71,6 +84,10 @@
     add_value("output", "text or json", "text");
     add_value("timeout-ms", "time without progress after which a call fails",
               "30000");
+    add_value("retry-ms",
+              "time within which a call that was refused as not run is "
+              "repeated; 0: never",
+              "10000");
 }
 
 options::~options() = default;
@@ -130,15 +147,24 @@
         err << impl_->program << ": --output: expected text or json\n";
         return exit_usage;
     }
-    const int timeout = std::atoi(value("timeout-ms").c_str());
-    if (timeout < 1 || timeout > max_timeout_ms)
+    const auto timeout = parse_number(value("timeout-ms"));
+    if (!timeout || *timeout < 1 || *timeout > max_timeout_ms)
     {
         err << impl_->program << ": --timeout-ms: expected 1 to "
             << max_timeout_ms << '\n';
         return exit_usage;
     }
 
-    impl_->api = {*address, value("key"), std::chrono::milliseconds(timeout)};
+    const auto retry_time = parse_number(value("retry-ms"));
+    if (!retry_time || *retry_time > max_retry_ms)
+    {
+        err << impl_->program << ": --retry-ms: expected 0 to " << max_retry_ms
+            << '\n';
+        return exit_usage;
+    }
+
+    impl_->api = {*address, value("key"), std::chrono::milliseconds(*timeout),
+                  std::chrono::milliseconds(*retry_time)};
     impl_->is_json = output == "json";
     return std::nullopt;
 }
--- a/src/cli/options.hpp
+++ b/src/cli/options.hpp
@@ -25,7 +25,7 @@
 
 /// Argument parser of one command on TCLAP, with the options that all
 /// commands share: `--entry` or `--operator`, `--key`, `--output`,
-/// `--timeout-ms`.
+/// `--timeout-ms`, `--retry-ms`.
 class options
 {
 public:
--- a/test/cli/test_commands.cpp
+++ b/test/cli/test_commands.cpp
@@ -1,11 +1,14 @@
 #include "cli/answers.hpp"
 #include "cli/command.hpp"
 #include "cli/exit_status.hpp"
+#include "support/scripted_server.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <sstream>
+#include <thread>
 
+using namespace tanagertrack;
 using namespace tanagertrack::cli;
 
 namespace
@@ -28,10 +31,80 @@
     int status;
 };
 
+/// An entry that answers from a script, on a thread of its own because the tool
+/// blocks.
+struct scripted_entry
+{
+    scripted_entry() : server(context), work(context.get_executor())
+    {
+    }
+
+    ~scripted_entry()
+    {
+        boost::asio::post(context, [this] { server.stop(); });
+        work.reset();
+        thread.join();
+    }
+
+    /// Starts to answer; the script is complete.
+    void start()
+    {
+        thread = std::thread([this] { context.run(); });
+    }
+
+    /// Adds a refusal.
+    void refuse(const std::string& execution, const std::string& fields)
+    {
+        const std::string body =
+            R"({"error":{"code":1202,"name":"no_capacity","message":"m",)"
+            R"("execution":")" +
+            execution + R"(","request_id":"r"}})";
+        server.add("HTTP/1.1 503 Busy\r\n" + fields + "Content-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    boost::asio::io_context context;
+    test::scripted_server server;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        work;
+    std::thread thread;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(commands)
 
+// Guards against a tool that gives up where its callers would come back.
+BOOST_AUTO_TEST_CASE(call_refused_as_not_run_is_repeated)
+{
+    scripted_entry entry;
+    entry.refuse("not_run", "Retry-After: 1\r\n");
+    entry.server.add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    entry.start();
+    const run_result run(
+        {"status", "--operator", to_string(entry.server.address())});
+    BOOST_TEST(run.status == exit_ok);
+    BOOST_TEST(entry.server.accepted == 2);
+}
+
+// Guards against work that runs twice, and against calls that never end.
+BOOST_AUTO_TEST_CASE(other_refusals_are_not_repeated)
+{
+    scripted_entry entry;
+    entry.refuse("may_have_run", "Retry-After: 1\r\n");
+    entry.refuse("not_run", "");
+    entry.refuse("not_run", "Retry-After: 1\r\n");
+    entry.start();
+    const auto where = to_string(entry.server.address());
+    BOOST_TEST(run_result({"status", "--operator", where}).status ==
+               exit_may_have_run);
+    BOOST_TEST(run_result({"status", "--operator", where}).status ==
+               exit_not_run);
+    BOOST_TEST(run_result({"status", "--operator", where, "--retry-ms", "500"})
+                   .status == exit_not_run);
+    BOOST_TEST(entry.server.accepted == 3);
+}
+
 // Guards against scripts that take a mistyped command for a success.
 BOOST_AUTO_TEST_CASE(wrong_arguments_give_status_2)
 {
@@ -45,6 +118,10 @@
     BOOST_TEST(
         run_result({"status", "--operator", "127.0.0.1:1", "--output", "xml"})
             .status == exit_usage);
+    for (const auto* it : {"-1", "x", "1s", "99999999"})
+        BOOST_TEST(run_result({"status", "--operator", "127.0.0.1:1",
+                               "--retry-ms", it})
+                       .status == exit_usage);
 }
 
 BOOST_AUTO_TEST_CASE(help_lists_every_command)
