Send load less often where there are many entries

Cause: each entry told each other one at most every 15 ms, so that the datagrams in all grew with the square of the entries: 99 peers would get 6,600 a second from each.

Change: the shortest interval is 1 ms for each peer, between the two that were there (15 and 400 ms). Fleets of up to 15 entries are unchanged.

--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -84,7 +84,16 @@
         return;
     const auto since =
         duration_cast<milliseconds>(common::clock::now() - last_send_);
-    schedule(std::max(milliseconds(0), settings_.min_interval - since));
+    schedule(std::max(milliseconds(0), min_interval() - since));
+}
+
+milliseconds load_exchange::min_interval() const
+{
+    const auto wanted =
+        std::max(settings_.min_interval,
+                 settings_.interval_per_peer *
+                     static_cast<milliseconds::rep>(peers_.size()));
+    return std::min(wanted, settings_.max_interval);
 }
 
 void load_exchange::schedule(milliseconds delay)
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -27,6 +27,11 @@
 
     /// Time after which a message is sent without a change.
     std::chrono::milliseconds max_interval{400};
+
+    /// Added to the shortest time for each peer, up to the longest: the
+    /// datagrams that a process sends in a second don't grow with their
+    /// number.
+    std::chrono::milliseconds interval_per_peer{1};
 };
 
 /// State of this process that goes into a message.
@@ -80,6 +85,7 @@
     void take_reports(const LoadMessage& message);
     void update_targets();
     void schedule(std::chrono::milliseconds delay);
+    std::chrono::milliseconds min_interval() const;
     void send();
     LoadMessage make_message(common::time_point now);
 
--- a/test/peers/test_load_exchange.cpp
+++ b/test/peers/test_load_exchange.cpp
@@ -109,6 +109,25 @@
     BOOST_TEST(!seen(two, "t1").reported.own);
 }
 
+// Guards against datagrams that grow with the square of the entries.
+BOOST_AUTO_TEST_CASE(messages_to_many_peers_are_fewer)
+{
+    constexpr unsigned peers = 40;
+    constexpr auto time = 400ms;
+    for (unsigned n = 0; n < peers; ++n)
+        one.exchange->add_peer("p" + std::to_string(n), two.address);
+    const auto before = two.changes;
+    const auto end = common::clock::now() + time;
+    while (common::clock::now() < end)
+    {
+        one.exchange->note_change();
+        run_for(context, 1ms);
+    }
+    const auto taken = two.changes - before;
+    BOOST_TEST(taken <= time / (peers * 1ms) + 1);
+    BOOST_TEST(taken >= 2);
+}
+
 BOOST_AUTO_TEST_CASE(load_of_a_removed_peer_is_dropped)
 {
     one.set.find("t1")->add_request(routing::work_class::online);
