End the process without taking requests apart that a forced stop leaves

Cause: after the grace period the event loop stops with requests under way; their handlers were destroyed after the objects that they refer to.

--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -9,6 +9,7 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -102,7 +103,14 @@
         std::cout << file.getValue() << ": accepted\n";
         return exit_ok;
     }
-    return entry::entry_process(settings, make_parts(settings)).run();
+    entry::entry_process process(settings, make_parts(settings));
+    const int status = process.run();
+
+    // Requests that a forced stop leaves refer to each other and to the
+    // process: they end with it, without being taken apart.
+    common::flush_log();
+    std::cout.flush();
+    std::_Exit(status);
 }
 
 } // namespace
