Split the runner, the store client and the configuration's state

Parts are now read by part_loader, which also drops a read for an earlier take of the same job; what follows from an attempt's end, who gives way, which service an item goes to and whether it may run are functions without input and output, with tests of their own; what items have reached is written and read in progress_store, which logs a text that can't be read. Lists of the configuration and records of the store moved to files of their own.

--- /dev/null
+++ b/src/batch/attempt_verdict.cpp
@@ -0,0 +1,57 @@
+#include "batch/attempt_verdict.hpp"
+
+#include <algorithm>
+
+namespace tanagertrack::batch
+{
+
+namespace
+{
+
+using outcome = targets::attempt_end::outcome;
+
+/// Pause before an item is tried again after an attempt that ended without an
+/// answer; grows with each.
+constexpr auto broken_pause = std::chrono::milliseconds(50);
+constexpr std::uint32_t max_broken_pauses = 20;
+
+/// Attempts without an answer after which an item starts from its beginning:
+/// what was received so far may not be what its targets go on from.
+constexpr std::uint32_t max_broken_resumes = 6;
+
+bool is_success(unsigned status)
+{
+    return status / 100 == 2;
+}
+
+attempt_verdict judge_answer(item_run& item, unsigned status,
+                             failure_kind meaning, std::uint32_t max_failures)
+{
+    if (is_success(status))
+        return {proto::ITEM_DONE};
+    if (meaning == failure_kind::counted)
+        ++item.failures;
+    const bool hopeless = meaning == failure_kind::permanent ||
+                          item.data.not_repeatable() ||
+                          item.failures >= max_failures;
+    if (hopeless)
+        return {proto::ITEM_DEAD};
+    return {std::nullopt, broken_pause};
+}
+
+} // namespace
+
+attempt_verdict judge_attempt(item_run& item, const targets::attempt_end& end,
+                              failure_kind meaning, std::uint32_t max_failures)
+{
+    if (end.what == outcome::complete)
+        return judge_answer(item, end.status, meaning, max_failures);
+    if (end.what != outcome::not_run && item.data.not_repeatable())
+        return {proto::ITEM_UNKNOWN};
+    ++item.broken;
+    return {std::nullopt,
+            broken_pause * std::min(item.broken, max_broken_pauses),
+            item.broken == max_broken_resumes};
+}
+
+} // namespace tanagertrack::batch
--- /dev/null
+++ b/src/batch/item_permission.cpp
@@ -0,0 +1,43 @@
+#include "batch/item_permission.hpp"
+
+#include <chrono>
+
+namespace tanagertrack::batch
+{
+
+using state::intent_verdict;
+
+bool may_run(job_log& jobs, item_run& item)
+{
+    if (!item.data.not_repeatable())
+        return true;
+    if (item.intent != item_intent::none)
+        return item.intent == item_intent::granted;
+    item.intent = item_intent::asked;
+    proto::JobRecord record;
+    auto& intent = *record.mutable_item_intent();
+    intent.set_job(item.job);
+    intent.set_item(item.index);
+    intent.set_member(jobs.member());
+
+    // The verdict comes with the records; a read for it must not be held back.
+    jobs.append({record}, true,
+                [&jobs](std::error_code, std::uint64_t) {
+                    jobs.confirm(std::chrono::milliseconds(0),
+                                 [](std::error_code) {});
+                });
+    return false;
+}
+
+bool take_intent_verdict(item_run& item, bool is_own, intent_verdict verdict)
+{
+    if (verdict == intent_verdict::first && is_own)
+    {
+        item.intent = item_intent::granted;
+        return false;
+    }
+    return item.intent != item_intent::granted &&
+           verdict != intent_verdict::void_item;
+}
+
+} // namespace tanagertrack::batch
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -73,6 +73,17 @@
         return !data.not_repeatable();
     }
 
+    /// The record of its text; `with_data`: with what was received.
+    proto::ItemText make_text(bool with_data) const
+    {
+        proto::ItemText out;
+        out.set_item(data.id());
+        out.set_attempts(attempts);
+        if (with_data)
+            out.set_text(text);
+        return out;
+    }
+
     /// Forgets what was received: the next attempt starts from the beginning.
     void restart()
     {
@@ -97,15 +108,24 @@
     /// Items that are loaded and have not ended, by index.
     std::map<std::uint32_t, item_run_ptr> items;
 
-    /// Parts before it are loaded or need not be.
-    std::size_t next_part = 0;
-    bool loading = false;
-    common::time_point load_again_at;
-
     /// Since when the configuration has no route for the job.
     std::optional<common::time_point> routeless_since;
 };
 
+/// Adds an item that has not started to a job.
+inline item_run_ptr add_item(job_run& run, std::uint32_t index,
+                             const proto::JobItem& data)
+{
+    item_run_ptr it(new item_run);
+    it->job = run.id;
+    it->index = index;
+    it->rank = {run.due, run.order, index};
+    it->data = data;
+    it->data_bytes = data.ByteSizeLong();
+    run.items[index] = it;
+    return it;
+}
+
 } // namespace tanagertrack::batch
 
 #endif
--- /dev/null
+++ b/src/batch/preemption.cpp
@@ -0,0 +1,43 @@
+#include "batch/preemption.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagertrack::batch
+{
+
+namespace
+{
+
+bool gives_way_before(const item_run& a, const item_run& b)
+{
+    return std::pair(std::get<0>(a.rank), b.events) >
+           std::pair(std::get<0>(b.rank), a.events);
+}
+
+} // namespace
+
+item_run_ptr choose_preempted(const std::set<item_run_ptr>& running,
+                              const targets::target& where)
+{
+    item_run_ptr chosen;
+    for (const auto& it : running)
+    {
+        const bool candidate =
+            it->attempt->where().get() == &where && it->may_be_taken_back();
+        if (candidate && (!chosen || gives_way_before(*it, *chosen)))
+            chosen = it;
+    }
+    return chosen;
+}
+
+std::uint32_t items_to_take_back(const routing::target_load& load,
+                                 std::uint32_t others)
+{
+    if (load.total() <= load.slots)
+        return 0;
+    const auto excess = load.total() - load.slots;
+    return std::min(excess - std::min(excess, others), load.own_batch);
+}
+
+} // namespace tanagertrack::batch
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -1,5 +1,11 @@
 #include "batch/runner.hpp"
 
+#include "batch/attempt_verdict.hpp"
+#include "batch/item_order.hpp"
+#include "batch/item_permission.hpp"
+#include "batch/item_route.hpp"
+#include "batch/preemption.hpp"
+#include "batch/progress_store.hpp"
 #include "common/logging.hpp"
 #include "http/event_splitter.hpp"
 
@@ -12,25 +18,12 @@
 namespace tanagertrack::batch
 {
 
-using outcome = targets::attempt_end::outcome;
 using state::intent_verdict;
 using std::chrono::milliseconds;
 
 namespace
 {
 
-/// Pause before an item is tried again after an attempt that ended without an
-/// answer; grows with each.
-constexpr auto broken_pause = milliseconds(50);
-constexpr std::uint32_t max_broken_pauses = 20;
-
-/// Pause before a part of a job is read again.
-constexpr auto read_again_pause = milliseconds(300);
-
-/// Attempts without an answer after which an item starts from its beginning:
-/// what was received so far may not be what its targets go on from.
-constexpr std::uint32_t max_broken_resumes = 6;
-
 /// Items looked at in one search for something to start.
 constexpr std::size_t max_scanned = 256;
 
@@ -40,17 +33,15 @@
 /// Items that wait for a place, above which no further ones are loaded.
 constexpr std::size_t enough_pending = 512;
 
-bool is_success(unsigned status)
-{
-    return status / 100 == 2;
-}
-
 } // namespace
 
 runner::runner(environment& shared, job_log& jobs, text_store& texts,
                result_recorder& recorder, intake& submissions)
     : shared_(shared), jobs_(jobs), texts_(texts), recorder_(recorder),
-      intake_(submissions), timer_(shared.context)
+      intake_(submissions), timer_(shared.context),
+      loader_(jobs, [this](const std::string& job, std::uint32_t first,
+                           const std::vector<proto::JobItem>& its)
+              { take_items(job, first, its); })
 {
     jobs_.add_listener(make_listener());
 }
@@ -159,8 +150,10 @@
 
     const auto items = intake_.take_items(job.id);
     if (items.empty())
+    {
+        loader_.add(job.id, {run.due, run.order}, 0);
         return load_more(common::clock::now());
-    run.next_part = job.parts.size();
+    }
     add_items(run, job, 0, items);
     pump_soon();
 }
@@ -199,6 +192,7 @@
         return;
     auto run = std::move(found->second);
     runs_.erase(found);
+    loader_.remove(id);
     common::log_info("job_dropped",
                      {{"job", id}, {"loaded_items", run.items.size()}});
     for (const auto& [index, item] : std::map(run.items))
@@ -207,65 +201,18 @@
 
 void runner::load_more(common::time_point now)
 {
-    if (handed_over_ || loaded_bytes_ >= max_loaded_bytes ||
-        pending_.size() >= enough_pending)
-        return;
-    std::vector<job_run*> wanting;
-    for (auto& [id, run] : runs_)
-    {
-        const auto* job = jobs_.table().find(id);
-        const bool more = job != nullptr && !run.loading &&
-                          now >= run.load_again_at &&
-                          run.next_part < job->parts.size();
-        if (more)
-            wanting.push_back(&run);
-    }
-    std::ranges::sort(wanting, {},
-                      [](const job_run* it)
-                      { return std::pair(it->due, it->order); });
-    for (auto* run : wanting)
-        load_part(*run, *jobs_.table().find(run->id));
+    if (!handed_over_ && loaded_bytes_ < max_loaded_bytes &&
+        pending_.size() < enough_pending)
+        loader_.load(now);
 }
 
-void runner::load_part(job_run& run, const state::batch_job& job)
+void runner::take_items(const std::string& job, std::uint32_t first,
+                        const std::vector<proto::JobItem>& its)
 {
-    const auto& part = job.parts[run.next_part];
-    const auto first = job.items.begin() + part.first_item;
-    const bool needed = std::any_of(first, first + part.item_count,
-                                    [](const auto& it)
-                                    { return it.state == proto::ITEM_OPEN; });
-    if (!needed)
-    {
-        ++run.next_part;
-        return;
-    }
-    run.loading = true;
-    jobs_.read_record(
-        part.offset,
-        [this, id = run.id](std::error_code ec, const proto::JobRecord& record)
-        { take_part(id, ec, record); });
-}
-
-void runner::take_part(const std::string& job, std::error_code ec,
-                       const proto::JobRecord& record)
-{
-    const auto found = runs_.find(job);
-    const auto* known = jobs_.table().find(job);
-    if (found == runs_.end() || known == nullptr || !found->second.loading)
-        return;
-    auto& run = found->second;
-    run.loading = false;
-    if (ec)
-    {
-        common::log_warning("job_part_unread",
-                            {{"job", job}, {"what", ec.message()}});
-        run.load_again_at = common::clock::now() + read_again_pause;
+    const auto run = runs_.find(job);
+    if (run == runs_.end())
         return;
-    }
-    ++run.next_part;
-    const auto& part = part_of(record);
-    add_items(run, *known, part.first_item(),
-              {part.items().begin(), part.items().end()});
+    add_items(run->second, *jobs_.table().find(job), first, its);
     pump_soon();
 }
 
@@ -278,48 +225,24 @@
         const auto index = first + static_cast<std::uint32_t>(i);
         if (job.items[index].state != proto::ITEM_OPEN)
             continue;
-        item_run_ptr item(new item_run);
-        item->job = run.id;
-        item->index = index;
-        item->rank = {run.due, run.order, index};
-        item->data = its[i];
-        item->data_bytes = its[i].ByteSizeLong();
+        const auto item = add_item(run, index, its[i]);
         loaded_bytes_ += item->data_bytes;
-        run.items[index] = item;
 
         const auto progress = job.progress.find(index);
         if (job.intents.contains(index))
             end_item(item, proto::ITEM_UNKNOWN, 0, {});
         else if (progress != job.progress.end())
-            load_progress(item, progress->second);
+            read_progress(texts_, item, progress->second,
+                          [this, item]
+                          {
+                              requeue(item);
+                              pump_soon();
+                          });
         else
             pending_[item->rank] = item;
     }
 }
 
-void runner::load_progress(const item_run_ptr& item,
-                           const state::item_progress& progress)
-{
-    texts_.read(
-        progress.text,
-        [this, item, progress](std::error_code ec, const proto::ItemText& text)
-        {
-            if (item->over)
-                return;
-
-            // Without its text the item starts from its beginning.
-            if (!ec)
-            {
-                item->text = text.text();
-                item->last_event = progress.last_event;
-                item->events = 1;
-            }
-            item->failures = progress.failures;
-            requeue(item);
-            pump_soon();
-        });
-}
-
 void runner::give_up(job_run& run)
 {
     common::log_info("job_without_route",
@@ -353,8 +276,10 @@
     const auto found = run->second.items.find(index);
     if (found != run->second.items.end())
         forget_item(run->second, item_run_ptr(found->second));
-    if (!jobs_.table().find(job)->is_open())
-        runs_.erase(run);
+    if (jobs_.table().find(job)->is_open())
+        return;
+    runs_.erase(run);
+    loader_.remove(job);
 }
 
 void runner::pump_soon()
@@ -390,13 +315,13 @@
         if (item->over)
             continue;
         auto& run = runs_.find(item->job)->second;
-        const auto to = find_route(run, *item);
-        if (busy.contains(to.service) || !may_start(run, item, to, now))
+        const auto service = find_service(run, *item);
+        if (busy.contains(service) || !may_start(run, item, service, now))
             continue;
-        const auto where = choose_target(*item, to.service);
+        const auto where = choose_target(*item, service);
         if (!where)
         {
-            busy.insert(to.service);
+            busy.insert(service);
             continue;
         }
         pending_.erase(item->rank);
@@ -405,33 +330,16 @@
 }
 
 bool runner::may_start(job_run& run, const item_run_ptr& item,
-                       const item_route& to, common::time_point now)
+                       const std::string& service, common::time_point now)
 {
-    if (to.service.empty())
+    if (service.empty())
     {
         if (!run.routeless_since)
             run.routeless_since = now;
         return false;
     }
     run.routeless_since.reset();
-    return item->not_before <= now &&
-           (!item->data.not_repeatable() || has_intent(item));
-}
-
-bool runner::has_intent(const item_run_ptr& item)
-{
-    if (item->intent != item_intent::none)
-        return item->intent == item_intent::granted;
-    item->intent = item_intent::asked;
-    proto::JobRecord record;
-    auto& intent = *record.mutable_item_intent();
-    intent.set_job(item->job);
-    intent.set_item(item->index);
-    intent.set_member(jobs_.member());
-    jobs_.append({record}, true,
-                 [this](std::error_code, std::uint64_t)
-                 { jobs_.confirm(milliseconds(0), [](std::error_code) {}); });
-    return false;
+    return item->not_before <= now && may_run(jobs_, *item);
 }
 
 void runner::take_intent(const proto::ItemIntent& intent,
@@ -444,42 +352,18 @@
     if (found == run->second.items.end() || found->second->over)
         return;
     const auto item = found->second;
-    const bool own = intent.member() == jobs_.member();
-    if (verdict == intent_verdict::first && own)
-    {
-        item->intent = item_intent::granted;
-        return pump_soon();
-    }
-
-    // Another process may run the item, or may have.
-    if (item->intent != item_intent::granted &&
-        verdict != intent_verdict::void_item)
+    if (take_intent_verdict(*item, intent.member() == jobs_.member(), verdict))
         end_item(item, proto::ITEM_UNKNOWN, 0, {});
+    else
+        pump_soon();
 }
 
-runner::item_route runner::find_route(job_run& run, const item_run& item)
+std::string runner::find_service(const job_run& run, const item_run& item) const
 {
     if (!item.data.service().empty())
-        return {nullptr, item.data.service()};
-    const auto configuration = shared_.configuration();
-    if (!configuration)
-        return {};
-    const auto* route = configuration->find_route(run.host, item.data.path());
-    if (route == nullptr || route->kind != fleet::route_kind::batch)
-        return {};
-
-    // The same item goes to the same service.
-    std::size_t total = 0;
-    for (const auto& it : route->services)
-        total += it.weight;
-    auto drawn = total == 0 ? 0 : (run.order + item.index) % total;
-    for (const auto& it : route->services)
-    {
-        if (drawn < it.weight)
-            return {route, it.service};
-        drawn -= it.weight;
-    }
-    return {};
+        return item.data.service();
+    return find_item_service(shared_.configuration().get(), run.host,
+                             item.data.path(), run.order + item.index);
 }
 
 targets::target_ptr runner::choose_target(const item_run& item,
@@ -504,22 +388,8 @@
 void runner::send(const job_run& run, const item_run_ptr& item,
                   const targets::target_ptr& where)
 {
-    http::header_list given;
-    for (const auto& it : item->data.headers())
-        given.add(it.name(), it.value());
-    http::header_list headers;
-    http::copy_end_to_end(given, headers);
-    targets::attempt_order order;
-    order.work = routing::work_class::batch;
-    order.request = shared_.protocol.write(
-        {item->data.id(), item->data.method(), item->data.path(), run.host,
-         headers, item->data.body(), where->id(), std::nullopt,
-         item->last_event});
-    order.request_id = item->data.id();
-    order.events = !item->data.whole_answer();
-    order.after_event = item->last_event;
-    if (item->data.not_repeatable())
-        order.max_rest = milliseconds(0);
+    auto order =
+        make_item_order(shared_.protocol, *item, run.host, where->id());
     if (item->data.whole_answer())
         item->restart();
 
@@ -567,68 +437,36 @@
     running_.erase(item);
     if (item->over)
         return;
-    if (end.what != outcome::complete || !is_success(end.status))
+    const auto& target = attempt->where()->id();
+    const auto verdict =
+        judge_attempt(*item, end, shared_.judge_failure(end.status),
+                      find_max_failures(shared_.configuration().get(),
+                                        jobs_.table().find(item->job),
+                                        shared_.settings.max_failures));
+    if (verdict.end != proto::ITEM_DONE)
         common::log_info("item_attempt_failed",
                          {{"job", item->job},
                           {"item", item->data.id()},
-                          {"target", attempt->where()->id()},
+                          {"target", target},
                           {"status", end.status},
                           {"reason", end.reason},
                           {"what", end.ec.message()},
-                          {"events", item->events}});
-    if (end.what == outcome::complete)
-        take_answer(item, *attempt, end.status);
+                          {"events", item->events},
+                          {"failures", item->failures},
+                          {"again_after_ms", verdict.pause.count()}});
+    if (verdict.end)
+        end_item(item, *verdict.end, end.status, target);
     else
-        take_broken(item, *attempt, end);
+    {
+        item->avoided = target;
+        item->not_before = common::clock::now() + verdict.pause;
+        if (verdict.restarts)
+            item->restart();
+        requeue(item);
+    }
     pump_soon();
 }
 
-void runner::take_answer(const item_run_ptr& item,
-                         const targets::attempt& attempt, unsigned status)
-{
-    const auto& target = attempt.where()->id();
-    if (is_success(status))
-        return end_item(item, proto::ITEM_DONE, status, target);
-    const auto meaning = shared_.judge_failure(status);
-    if (meaning == failure_kind::counted)
-        ++item->failures;
-    const bool hopeless = meaning == failure_kind::permanent ||
-                          item->data.not_repeatable() ||
-                          item->failures >= max_failures(item->job);
-    if (hopeless)
-        return end_item(item, proto::ITEM_DEAD, status, target);
-    item->avoided = target;
-    item->not_before = common::clock::now() + broken_pause;
-    requeue(item);
-}
-
-void runner::take_broken(const item_run_ptr& item,
-                         const targets::attempt& attempt,
-                         const targets::attempt_end& end)
-{
-    const auto& target = attempt.where()->id();
-    if (end.what != outcome::not_run && item->data.not_repeatable())
-        return end_item(item, proto::ITEM_UNKNOWN, end.status, target);
-    ++item->broken;
-    item->avoided = target;
-    item->not_before = common::clock::now() +
-                       broken_pause * std::min(item->broken, max_broken_pauses);
-    if (item->broken == max_broken_resumes)
-        item->restart();
-    requeue(item);
-}
-
-std::uint32_t runner::max_failures(const std::string& job) const
-{
-    const auto configuration = shared_.configuration();
-    const auto* known = jobs_.table().find(job);
-    if (!configuration || known == nullptr)
-        return shared_.settings.max_failures;
-    const auto* route = configuration->find_route_named(known->route);
-    return route == nullptr ? shared_.settings.max_failures
-                            : route->max_attempts;
-}
-
 void runner::end_item(const item_run_ptr& item, proto::ItemState state,
                       unsigned status, const std::string& target)
 {
@@ -650,12 +488,9 @@
     end.job = item->job;
     end.item = item->index;
     end.state = state;
-    end.text.set_item(item->data.id());
+    end.text = item->make_text(done || item->data.whole_answer());
     end.text.set_http_status(status);
     end.text.set_target(target);
-    end.text.set_attempts(item->attempts);
-    if (done || item->data.whole_answer())
-        end.text.set_text(std::move(item->text));
     recorder_.add(std::move(end));
 }
 
@@ -667,21 +502,7 @@
 
 bool runner::make_room(targets::target& where)
 {
-    // The item with the most time left gives way; among equals the one that
-    // has got least far.
-    item_run_ptr chosen;
-    const auto gives_way_before = [](const item_run& a, const item_run& b)
-    {
-        return std::pair(std::get<0>(a.rank), b.events) >
-               std::pair(std::get<0>(b.rank), a.events);
-    };
-    for (const auto& it : running_)
-    {
-        const bool candidate =
-            it->attempt->where().get() == &where && it->may_be_taken_back();
-        if (candidate && (!chosen || gives_way_before(*it, *chosen)))
-            chosen = it;
-    }
+    const auto chosen = choose_preempted(running_, where);
     if (!chosen)
         return false;
     ++counts_.preempted;
@@ -696,13 +517,8 @@
         used.insert(it->attempt->where());
     for (const auto& it : used)
     {
-        const auto& load = it->load;
-        if (load.total() <= load.slots)
-            continue;
-        const auto excess = load.total() - load.slots;
-        const auto others = std::min(excess, shared_.yields_before(*it));
-        const auto own = std::min(excess - others, load.own_batch);
-        for (std::uint32_t n = 0; n < own; ++n)
+        auto n = items_to_take_back(it->load, shared_.yields_before(*it));
+        while (n-- != 0)
             make_room(*it);
     }
 }
@@ -756,46 +572,12 @@
     recorder_.flush();
 
     std::vector<item_run_ptr> begun;
-    std::vector<proto::ItemText> texts;
     for (const auto& [rank, item] : pending_)
     {
-        if (!item->last_event)
-            continue;
-        begun.push_back(item);
-        auto& text = texts.emplace_back();
-        text.set_item(item->data.id());
-        text.set_text(item->text);
-    }
-    if (begun.empty())
-        return done();
-    texts_.write(
-        std::move(texts),
-        [this, begun, done = std::move(done)](
-            std::error_code ec, const std::vector<state::text_location>& places)
-        {
-            if (ec)
-                return done();
-            append_progress(begun, places, done);
-        });
-}
-
-void runner::append_progress(const std::vector<item_run_ptr>& its,
-                             const std::vector<state::text_location>& places,
-                             const std::function<void()>& done)
-{
-    std::vector<proto::JobRecord> records(its.size());
-    for (std::size_t i = 0; i < its.size(); ++i)
-    {
-        auto& it = *records[i].mutable_progress();
-        it.set_job(its[i]->job);
-        it.set_item(its[i]->index);
-        it.set_last_event(*its[i]->last_event);
-        it.set_text_partition(places[i].partition);
-        it.set_text_offset(places[i].offset);
-        it.set_failures(its[i]->failures);
+        if (item->last_event)
+            begun.push_back(item);
     }
-    jobs_.append(records, true,
-                 [done](std::error_code, std::uint64_t) { done(); });
+    write_progress(jobs_, texts_, std::move(begun), std::move(done));
 }
 
 // ---- counts ----
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -5,6 +5,7 @@
 #include "batch/intake.hpp"
 #include "batch/item_run.hpp"
 #include "batch/job_log.hpp"
+#include "batch/part_loader.hpp"
 #include "batch/result_recorder.hpp"
 #include "batch/text_store.hpp"
 
@@ -75,13 +76,6 @@
     std::size_t running_items(std::string_view job) const;
 
 private:
-    /// Service that an item goes to, or none.
-    struct item_route
-    {
-        const fleet::route* route = nullptr;
-        std::string service;
-    };
-
     job_listener make_listener();
     void pump();
     void tick();
@@ -91,22 +85,18 @@
     void take_loaded_state();
     void drop_job(const std::string& id);
     void load_more(common::time_point now);
-    void load_part(job_run& run, const state::batch_job& job);
-    void take_part(const std::string& job, std::error_code ec,
-                   const proto::JobRecord& record);
+    void take_items(const std::string& job, std::uint32_t first,
+                    const std::vector<proto::JobItem>& its);
     void add_items(job_run& run, const state::batch_job& job,
                    std::uint32_t first, const std::vector<proto::JobItem>& its);
-    void load_progress(const item_run_ptr& item,
-                       const state::item_progress& progress);
     void give_up(job_run& run);
 
     // Items.
     void forget_item(job_run& run, const item_run_ptr& item);
     void drop_item(const std::string& job, std::uint32_t item);
-    item_route find_route(job_run& run, const item_run& item);
-    bool may_start(job_run& run, const item_run_ptr& item, const item_route& to,
-                   common::time_point now);
-    bool has_intent(const item_run_ptr& item);
+    std::string find_service(const job_run& run, const item_run& item) const;
+    bool may_start(job_run& run, const item_run_ptr& item,
+                   const std::string& service, common::time_point now);
     void take_intent(const proto::ItemIntent& intent,
                      state::intent_verdict verdict);
     targets::target_ptr choose_target(const item_run& item,
@@ -114,19 +104,11 @@
     void send(const job_run& run, const item_run_ptr& item,
               const targets::target_ptr& where);
     void take_end(const item_run_ptr& item, const targets::attempt_end& end);
-    void take_answer(const item_run_ptr& item, const targets::attempt& attempt,
-                     unsigned status);
-    void take_broken(const item_run_ptr& item, const targets::attempt& attempt,
-                     const targets::attempt_end& end);
     void end_item(const item_run_ptr& item, proto::ItemState state,
                   unsigned status, const std::string& target);
     void requeue(const item_run_ptr& item);
     void stop_attempt(const item_run_ptr& item, std::string_view why);
     void stop_silent(common::time_point now);
-    void append_progress(const std::vector<item_run_ptr>& its,
-                         const std::vector<state::text_location>& places,
-                         const std::function<void()>& done);
-    std::uint32_t max_failures(const std::string& job) const;
 
     environment& shared_;
     job_log& jobs_;
@@ -134,6 +116,7 @@
     result_recorder& recorder_;
     intake& intake_;
     boost::asio::steady_timer timer_;
+    part_loader loader_;
     std::map<std::string, job_run, std::less<>> runs_;
 
     /// Items that wait for a place, and those that are under way.
--- a/src/state/config_state.cpp
+++ b/src/state/config_state.cpp
@@ -1,5 +1,7 @@
 #include "state/config_state.hpp"
 
+#include "state/config_lists.hpp"
+
 #include <boost/assert.hpp>
 #include <google/protobuf/arena.h>
 
@@ -11,25 +13,12 @@
 namespace
 {
 
-using google::protobuf::RepeatedPtrField;
-
 constexpr std::size_t arena_block_bytes = 64 * 1024;
 
 /// Upper bounds of encoded sizes in a snapshot, with tags and lengths.
 constexpr std::size_t object_overhead_bytes = 6;
 constexpr std::size_t part_overhead_bytes = 128;
 
-const std::string& key_of(const proto::RemovedSpec& spec)
-{
-    return spec.object();
-}
-
-template<typename Spec>
-const std::string& key_of(const Spec& spec)
-{
-    return spec.name();
-}
-
 /// Copies a configuration into an arena of its own, which the pointer keeps
 /// alive: the copy takes few allocations and is freed in one go.
 std::shared_ptr<proto::FleetConfig> copy(const proto::FleetConfig& config)
@@ -43,62 +32,6 @@
     return {std::move(arena), out};
 }
 
-/// First object of a sorted list whose key is not below `key`.
-template<typename List>
-auto lower_bound(List& list, std::string_view key)
-{
-    return std::lower_bound(list.begin(), list.end(), key,
-                            [](const auto& spec, std::string_view wanted)
-                            { return key_of(spec) < wanted; });
-}
-
-template<typename Spec>
-const Spec* find(const RepeatedPtrField<Spec>& list, std::string_view key)
-{
-    const auto found = lower_bound(list, key);
-    return found != list.end() && key_of(*found) == key ? &*found : nullptr;
-}
-
-template<typename Spec>
-void erase(RepeatedPtrField<Spec>& list, std::string_view key)
-{
-    const auto found = lower_bound(list, key);
-    if (found != list.end() && key_of(*found) == key)
-        list.erase(found);
-}
-
-/// Replaces or adds objects. Sorting moves only pointers.
-template<typename Spec>
-void merge(RepeatedPtrField<Spec>& list, const std::vector<Spec>& changes)
-{
-    std::vector<const Spec*> added;
-    for (const auto& it : changes)
-    {
-        const auto found = lower_bound(list, key_of(it));
-        if (found != list.end() && key_of(*found) == key_of(it))
-            *found = it;
-        else
-            added.push_back(&it);
-    }
-    if (added.empty())
-        return;
-    for (const auto* it : added)
-        *list.Add() = *it;
-    std::sort(list.pointer_begin(), list.pointer_end(),
-              [](const Spec* a, const Spec* b)
-              { return key_of(*a) < key_of(*b); });
-}
-
-/// Number of objects in `changes` that `list` does not have.
-template<typename Spec>
-std::size_t count_new(const RepeatedPtrField<Spec>& list,
-                      const std::vector<Spec>& changes)
-{
-    return static_cast<std::size_t>(
-        std::ranges::count_if(changes, [&list](const Spec& it)
-                              { return find(list, key_of(it)) == nullptr; }));
-}
-
 struct object_name
 {
     std::string_view kind;
@@ -207,7 +140,7 @@
     }
 
     template<typename Spec>
-    void add(const RepeatedPtrField<Spec>& list,
+    void add(const google::protobuf::RepeatedPtrField<Spec>& list,
              Spec* (proto::FleetConfig::*add_to)())
     {
         for (const auto& it : list)
--- /dev/null
+++ b/test/batch/test_decisions.cpp
@@ -0,0 +1,119 @@
+#include "batch/attempt_verdict.hpp"
+#include "batch/item_route.hpp"
+#include "batch/preemption.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+
+using namespace tanagertrack;
+using outcome = targets::attempt_end::outcome;
+using batch::failure_kind;
+
+namespace
+{
+
+targets::attempt_end make_end(outcome what, unsigned status)
+{
+    targets::attempt_end end;
+    end.what = what;
+    end.status = status;
+    return end;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(batch_decisions)
+
+// Guards against an item that is given up for what its target did, and against
+// one that fails for ever.
+BOOST_AUTO_TEST_CASE(failures_of_the_item_itself_are_counted)
+{
+    batch::item_run item;
+    const auto judge = [&](unsigned status, failure_kind meaning)
+    {
+        return batch::judge_attempt(item, make_end(outcome::complete, status),
+                                    meaning, 2);
+    };
+    BOOST_TEST(!judge(503, failure_kind::transient).end.has_value());
+    BOOST_TEST(item.failures == 0);
+    BOOST_TEST(!judge(500, failure_kind::counted).end.has_value());
+    BOOST_TEST((judge(500, failure_kind::counted).end == proto::ITEM_DEAD));
+    BOOST_TEST((judge(422, failure_kind::permanent).end == proto::ITEM_DEAD));
+    BOOST_TEST((judge(200, failure_kind::transient).end == proto::ITEM_DONE));
+}
+
+// Guards against a second run of an item that may not be repeated.
+BOOST_AUTO_TEST_CASE(item_that_may_have_run_is_not_tried_again)
+{
+    batch::item_run item;
+    item.data.set_not_repeatable(true);
+    const auto judge = [&](outcome what)
+    {
+        return batch::judge_attempt(item, make_end(what, 0),
+                                    failure_kind::transient, 3);
+    };
+    BOOST_TEST((judge(outcome::failed).end == proto::ITEM_UNKNOWN));
+    BOOST_TEST(!judge(outcome::not_run).end.has_value());
+}
+
+// Guards against an item that resumes for ever from events which no target
+// goes on from, and against retries without a pause.
+BOOST_AUTO_TEST_CASE(broken_attempts_pause_longer_and_restart_once)
+{
+    batch::item_run item;
+    unsigned restarts = 0;
+    std::chrono::milliseconds last{0};
+    for (int n = 0; n < 10; ++n)
+    {
+        const auto verdict = batch::judge_attempt(
+            item, make_end(outcome::failed, 0), failure_kind::transient, 3);
+        BOOST_TEST(!verdict.end.has_value());
+        BOOST_TEST((verdict.pause > last));
+        last = verdict.pause;
+        restarts += verdict.restarts ? 1 : 0;
+    }
+    BOOST_TEST(restarts == 1);
+}
+
+// Guards against entries that all take their items back for one online
+// request, or that all leave it to the others.
+BOOST_AUTO_TEST_CASE(entries_share_what_is_taken_back)
+{
+    routing::target_load load;
+    load.slots = 4;
+    load.own_online = 1;
+    load.own_batch = 3;
+    BOOST_TEST(batch::items_to_take_back(load, 0) == 0);
+    load.peer_online = 2;
+    BOOST_TEST(batch::items_to_take_back(load, 0) == 2);
+    BOOST_TEST(batch::items_to_take_back(load, 1) == 1);
+    BOOST_TEST(batch::items_to_take_back(load, 5) == 0);
+    load.own_batch = 1;
+    load.peer_online = 9;
+    BOOST_TEST(batch::items_to_take_back(load, 0) == 1);
+}
+
+// Guards against an item that goes to another service at each attempt.
+BOOST_AUTO_TEST_CASE(services_get_items_by_weight)
+{
+    fleet::route route;
+    route.name = "r";
+    route.host = "h";
+    route.path_prefix = "/";
+    route.kind = fleet::route_kind::batch;
+    route.services = {{"a", 3}, {"b", 1}};
+    const fleet::configuration configuration(1, std::vector{route}, {},
+                                             fleet::request_limits());
+    std::map<std::string, unsigned> counts;
+    for (std::uint64_t n = 0; n < 40; ++n)
+        ++counts[batch::find_item_service(&configuration, "h", "/x", n)];
+    BOOST_TEST(counts["a"] == 30);
+    BOOST_TEST(counts["b"] == 10);
+    BOOST_TEST(
+        batch::find_item_service(&configuration, "other", "/x", 0).empty());
+    BOOST_TEST(batch::find_item_service(nullptr, "h", "/x", 0).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
