--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
 packages=(
     build-essential cmake ninja-build ccache pkg-config
     libboost1.81-dev libboost-json1.81-dev libboost-test1.81-dev
-    libnghttp2-dev libprotobuf-dev libyaml-cpp-dev libgoogle-glog-dev
+    libprotobuf-dev libyaml-cpp-dev
     libtclap-dev libxxhash-dev curl
 )
 if [ "${1:-}" = "--with-checkers" ]; then
