--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -112,6 +112,9 @@
 {
     table.add_integer("batch.max_items_per_job", it.max_items_per_job, 1,
                       10000000, "items of a job");
+    table.add_integer("batch.reserved_slots", it.reserved_slots, 0, 1000,
+                      "places of each target that items leave free, at most a "
+                      "quarter");
     table.add_integer("batch.max_unrecorded_results", it.max_unrecorded_results,
                       1, 1000000,
                       "results waiting for the store; above it no item starts");
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -80,6 +80,7 @@
 struct batch_settings
 {
     std::size_t max_items_per_job = 140000;
+    std::uint32_t reserved_slots = 1;
     std::size_t max_unrecorded_results = 4096;
     std::size_t max_unrecorded_bytes = 16UL * 1024 * 1024;
     std::uint32_t max_attempts = 4;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -41,6 +41,7 @@
 batch::batch_settings batch_settings(const config::settings& it)
 {
     batch::batch_settings settings;
+    settings.reserve = it.batch.reserved_slots;
     settings.max_unrecorded = it.batch.max_unrecorded_results;
     settings.max_unrecorded_bytes = it.batch.max_unrecorded_bytes;
     settings.max_failures = it.batch.max_attempts;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -1,5 +1,6 @@
 #include "routing/placement.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,10 @@
 /// the time to the first token of an empty target.
 constexpr double crowding = 0.05;
 
+/// Places that a target has for each one that batch items leave free, so that
+/// small targets take batch items too.
+constexpr std::uint32_t min_slots_per_reserve = 4;
+
 /// Added to the cost of a target that failed a moment ago.
 constexpr double avoided_ms = 10000;
 
@@ -138,7 +143,8 @@
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
         const auto& it = *candidates[i];
-        if (it.free_slots() <= reserve || now < it.avoided_until)
+        const auto kept = std::min(reserve, it.slots / min_slots_per_reserve);
+        if (it.free_slots() <= kept || now < it.avoided_until)
             continue;
         const double tie = to_ms(settings_.tie_width) *
                            static_cast<double>(random_(tie_steps)) / tie_steps;
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -78,7 +78,8 @@
                   common::time_point now);
 
     /// Target with a place that nobody needs, for a batch item; nothing if
-    /// there is none. `reserve` places of each target are left free.
+    /// there is none. `reserve` places of each target are left free, but at
+    /// most a quarter of them.
     std::optional<placement_choice>
     choose_batch(std::span<const target_load* const> candidates,
                  std::uint32_t reserve, common::time_point now);
