Keep load fresh with 29 entries, and add it up as it comes

Cause: with 28 peers the pace of 1 ms for each made load 28 ms old.

Change: 0.5 ms for each peer. The uses of all peers are added up when a message comes; before, each message summed all peers for each target.

Also: a lint error in the reader of checkpoints.

--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -89,11 +89,11 @@
 
 milliseconds load_exchange::min_interval() const
 {
-    const auto wanted =
-        std::max(settings_.min_interval,
-                 settings_.interval_per_peer *
-                     static_cast<milliseconds::rep>(peers_.size()));
-    return std::min(wanted, settings_.max_interval);
+    const auto for_peers = duration_cast<milliseconds>(
+        settings_.interval_per_peer *
+        static_cast<milliseconds::rep>(peers_.size()));
+    return std::min(std::max(settings_.min_interval, for_peers),
+                    settings_.max_interval);
 }
 
 void load_exchange::schedule(milliseconds delay)
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -28,10 +28,10 @@
     /// Time after which a message is sent without a change.
     std::chrono::milliseconds max_interval{400};
 
-    /// Added to the shortest time for each peer, up to the longest: the
-    /// datagrams that a process sends in a second don't grow with their
-    /// number.
-    std::chrono::milliseconds interval_per_peer{1};
+    /// Shortest time for each peer, up to the longest time: the datagrams that
+    /// a process sends in a second don't grow with their number. Placement is
+    /// the worse the older the others' load is, so that it is not longer.
+    std::chrono::microseconds interval_per_peer{500};
 };
 
 /// State of this process that goes into a message.
--- a/src/peers/peer_loads.cpp
+++ b/src/peers/peer_loads.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace tanagertrack::peers
 {
@@ -16,37 +17,59 @@
     it.heard = now;
     it.waiting_items = message.waiting_items();
     it.store_contact = now - std::chrono::milliseconds(message.store_age_ms());
-    it.uses.clear();
+    drop_uses(it);
     for (const auto& use : message.uses())
-        it.uses[use.target()] = {use.online(), use.batch()};
+    {
+        const target_use value{use.online(), use.batch()};
+        const bool counts = value.online != 0 || value.batch != 0;
+        if (!counts || !it.uses.try_emplace(use.target(), value).second)
+            continue;
+        auto& sum = sums_[use.target()];
+        sum.online += use.online();
+        sum.batch += use.batch();
+    }
     return true;
 }
 
+void peer_loads::drop_uses(member_state& from)
+{
+    for (const auto& [target, use] : from.uses)
+    {
+        auto& sum = sums_[target];
+        sum.online -= use.online;
+        sum.batch -= use.batch;
+        if (sum.online == 0 && sum.batch == 0)
+            sums_.erase(target);
+    }
+    from.uses.clear();
+}
+
 bool peer_loads::expire(common::time_point now)
 {
-    return std::erase_if(members_, [now](const auto& it)
-                         { return now - it.second.heard > lifetime; }) != 0;
+    const auto before = members_.size();
+    for (auto it = members_.begin(); it != members_.end();)
+    {
+        const bool silent = now - it->second.heard > lifetime;
+        if (silent)
+            drop_uses(it->second);
+        it = silent ? members_.erase(it) : std::next(it);
+    }
+    return members_.size() != before;
 }
 
 void peer_loads::remove(std::string_view member)
 {
     const auto it = members_.find(member);
-    if (it != members_.end())
-        members_.erase(it);
+    if (it == members_.end())
+        return;
+    drop_uses(it->second);
+    members_.erase(it);
 }
 
 target_use peer_loads::use_of(std::uint32_t target) const
 {
-    target_use sum;
-    for (const auto& [member, it] : members_)
-    {
-        const auto use = it.uses.find(target);
-        if (use == it.uses.end())
-            continue;
-        sum.online += use->second.online;
-        sum.batch += use->second.batch;
-    }
-    return sum;
+    const auto it = sums_.find(target);
+    return it == sums_.end() ? target_use() : it->second;
 }
 
 std::uint64_t peer_loads::rank(std::uint32_t target, std::string_view member)
--- a/src/peers/peer_loads.hpp
+++ b/src/peers/peer_loads.hpp
@@ -77,9 +77,15 @@
         common::time_point store_contact;
     };
 
+    /// Forgets the uses of a member.
+    void drop_uses(member_state& from);
+
     static std::uint64_t rank(std::uint32_t target, std::string_view member);
 
     std::map<std::string, member_state, std::less<>> members_;
+
+    /// Uses of all members together, by target.
+    std::map<std::uint32_t, target_use> sums_;
 };
 
 } // namespace tanagertrack::peers
--- a/src/state/job_checkpoint.cpp
+++ b/src/state/job_checkpoint.cpp
@@ -291,7 +291,7 @@
     parts[part.index()] = part.state();
     if (parts.size() < part.count())
         return;
-    newest_.emplace();
+    newest_ = checkpoint();
     newest_->as_of = part.as_of();
     for (auto& [index, state] : parts)
         newest_->states.push_back(std::move(state));
--- a/test/peers/test_peer_loads.cpp
+++ b/test/peers/test_peer_loads.cpp
@@ -49,6 +49,23 @@
     BOOST_TEST(loads.use_of(target).online == 3);
 }
 
+// Guards against a sum that drifts from what the peers say.
+BOOST_AUTO_TEST_CASE(odd_messages_leave_no_trace)
+{
+    peer_loads loads;
+    auto twice = make_message("a", 1, 2, 1);
+    *twice.add_uses() = twice.uses(0);
+    loads.take(twice, start);
+    BOOST_TEST(loads.use_of(target).online == 2);
+    for (const auto* member : {"a", "b", "c"})
+        loads.take(make_message(member, 2, 0, 0), start);
+    for (const auto* member : {"a", "b", "c"})
+        loads.remove(member);
+    BOOST_TEST(loads.use_of(target).online == 0);
+    loads.take(make_message("b", 1, 4, 0), start);
+    BOOST_TEST(loads.use_of(target).online == 4);
+}
+
 // Datagrams may overtake each other.
 BOOST_AUTO_TEST_CASE(message_that_was_overtaken_is_ignored)
 {
