--- a/src/batch/checkpointer.cpp
+++ b/src/batch/checkpointer.cpp
@@ -42,9 +42,13 @@
 
 void checkpointer::look()
 {
-    const auto age = common::clock::now() - jobs_.last_checkpoint();
-    if (is_leader_() && jobs_.is_current() && age >= interval_)
-        jobs_.append_checkpoint();
+    const auto now = common::clock::now();
+    const bool due = now - jobs_.last_checkpoint() >= interval_ &&
+                     now - last_append_ >= interval_;
+    if (!due || !is_leader_() || !jobs_.is_current() || !jobs_.reachable())
+        return;
+    last_append_ = now;
+    jobs_.append_checkpoint();
 }
 
 } // namespace tanagertrack::batch
--- a/src/batch/checkpointer.hpp
+++ b/src/batch/checkpointer.hpp
@@ -2,6 +2,7 @@
 #define TANAGERTRACK_BATCH_CHECKPOINTER_HPP
 
 #include "batch/job_log.hpp"
+#include "common/clock.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -39,6 +40,9 @@
     std::chrono::milliseconds interval_;
     std::function<bool()> is_leader_;
     boost::asio::steady_timer timer_;
+
+    /// When this process last appended one, which may still wait for the store.
+    common::time_point last_append_;
 };
 
 } // namespace tanagertrack::batch
--- a/test/batch/test_record_mover.cpp
+++ b/test/batch/test_record_mover.cpp
@@ -146,6 +146,36 @@
     BOOST_TEST(late.until([&] { return late.jobs.is_current(); }));
 }
 
+// Guards against checkpoints that pile up while the store is away.
+BOOST_AUTO_TEST_CASE(one_checkpoint_waits_for_the_store)
+{
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    BOOST_REQUIRE(one.until([&] { return one.finished("j"); }));
+    store.append_fate = []
+    {
+        return call_fate::refused;
+    };
+    const auto before = store.model.end("jobs", 0);
+    run_for(context, retention * 2);
+    store.append_fate = []
+    {
+        return call_fate::done;
+    };
+    const auto at = common::clock::now();
+    BOOST_REQUIRE(one.until([&] { return one.jobs.last_checkpoint() > at; }));
+    run_ready(context);
+    unsigned checkpoints = 0;
+    for (const auto& it :
+         store.model.read("jobs", 0, before, 1000000, common::clock::now())
+             .records)
+    {
+        proto::JobRecord record;
+        BOOST_TEST(record.ParseFromString(it));
+        checkpoints += record.has_checkpoint() ? 1 : 0;
+    }
+    BOOST_TEST(checkpoints == 1);
+}
+
 // Guards against a text of earlier progress that takes the place of a later
 // one.
 BOOST_AUTO_TEST_CASE(moved_progress_does_not_replace_later_progress)
