Tell all parts of a process of moved jobs, so that each job is moved in its turn

Cause, found on reading the change: the log of jobs handed the hooks of the fold to its listeners by a list written out hook by hook, and on_moved was not in it. The mover never heard that a job was moved, copied the first due one at every look and reached no other. With more than one job, the records of the others would have expired.

Change: one template makes a hook that calls the same one of all listeners, a line for each. The new test with three jobs fails before. The pause after a failed move stands once.

--- a/src/batch/job_log.cpp
+++ b/src/batch/job_log.cpp
@@ -12,16 +12,20 @@
 namespace
 {
 
-/// Calls one hook of all listeners.
-template<typename Hook, typename... Args>
-void tell(const std::vector<job_listener>& listeners,
-          Hook state::job_table_hooks::*hook, const Args&... args)
+/// A hook of the table that calls the same hook of all listeners.
+template<typename... Args>
+std::function<void(Args...)>
+forward(const std::vector<job_listener>& listeners,
+        std::function<void(Args...)> state::job_table_hooks::*hook)
 {
-    for (const auto& it : listeners)
+    return [&listeners, hook](Args... args)
     {
-        if (it.changes.*hook)
-            (it.changes.*hook)(args...);
-    }
+        for (const auto& it : listeners)
+        {
+            if (it.changes.*hook)
+                (it.changes.*hook)(args...);
+        }
+    };
 }
 
 } // namespace
@@ -63,39 +67,16 @@
 state::job_table_hooks job_log::make_hooks()
 {
     using table_hooks = state::job_table_hooks;
-    state::job_table_hooks hooks;
-    hooks.on_commit = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_commit, args...);
-    };
-    hooks.on_result = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_result, args...);
-    };
-    hooks.on_ended = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_ended, args...);
-    };
-    hooks.on_taken = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_taken, args...);
-    };
-    hooks.on_member = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_member, args...);
-    };
-    hooks.on_item_intent = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_item_intent, args...);
-    };
-    hooks.on_call_intent = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_call_intent, args...);
-    };
-    hooks.on_call_ended = [this](const auto&... args)
-    {
-        tell(listeners_, &table_hooks::on_call_ended, args...);
-    };
+    table_hooks hooks;
+    hooks.on_commit = forward(listeners_, &table_hooks::on_commit);
+    hooks.on_result = forward(listeners_, &table_hooks::on_result);
+    hooks.on_ended = forward(listeners_, &table_hooks::on_ended);
+    hooks.on_taken = forward(listeners_, &table_hooks::on_taken);
+    hooks.on_member = forward(listeners_, &table_hooks::on_member);
+    hooks.on_item_intent = forward(listeners_, &table_hooks::on_item_intent);
+    hooks.on_call_intent = forward(listeners_, &table_hooks::on_call_intent);
+    hooks.on_call_ended = forward(listeners_, &table_hooks::on_call_ended);
+    hooks.on_moved = forward(listeners_, &table_hooks::on_moved);
     return hooks;
 }
 
--- a/src/batch/record_mover.cpp
+++ b/src/batch/record_mover.cpp
@@ -123,6 +123,11 @@
         move_call(call_id, *call->outcome_at);
 }
 
+common::time_point record_mover::after_failure() const
+{
+    return common::clock::now() + retention_ / looks_per_retention * 2;
+}
+
 void record_mover::forget_old()
 {
     std::erase_if(jobs_ages_, [this](const auto& it)
@@ -291,8 +296,7 @@
     if (ec)
     {
         // Others go first.
-        jobs_ages_[it->job].not_before =
-            common::clock::now() + retention_ / looks_per_retention * 2;
+        jobs_ages_[it->job].not_before = after_failure();
         return common::log_warning("job_move_failed",
                                    {{"job", it->job}, {"what", ec.message()}});
     }
@@ -313,8 +317,7 @@
         auto& known = call_ages_[call];
         if (ec)
         {
-            known.not_before =
-                common::clock::now() + retention_ / looks_per_retention * 2;
+            known.not_before = after_failure();
             return common::log_warning(
                 "call_move_failed", {{"call", call}, {"what", ec.message()}});
         }
--- a/src/batch/record_mover.hpp
+++ b/src/batch/record_mover.hpp
@@ -68,6 +68,9 @@
     bool is_due(ages& known, const std::string& id, std::uint64_t created_ms);
     void forget_old();
 
+    /// When to try again what has failed now.
+    common::time_point after_failure() const;
+
     // One job.
     void move_job(const state::batch_job& job);
     void copy_part(const job_move_ptr& it);
--- a/test/batch/test_record_mover.cpp
+++ b/test/batch/test_record_mover.cpp
@@ -84,6 +84,24 @@
     BOOST_TEST(!page->results[0].text.text().empty());
 }
 
+// Guards against one job that is moved again and again while the records of the
+// others expire.
+BOOST_AUTO_TEST_CASE(every_job_is_moved_in_its_turn)
+{
+    for (const auto* job : {"j", "k", "l"})
+    {
+        BOOST_TEST(one.accept(job, {one.make_item("a")}));
+        BOOST_REQUIRE(one.until([&] { return one.finished(job); }));
+    }
+    const auto texts_end = store.model.end("texts", 0);
+    const auto is_moved = [&](const char* job)
+    {
+        return one.job(job)->items[0].text.offset >= texts_end;
+    };
+    for (const auto* job : {"j", "k", "l"})
+        BOOST_TEST(one.until([&] { return is_moved(job); }));
+}
+
 // Guards against accepted items whose requests are lost with their records.
 BOOST_AUTO_TEST_CASE(open_items_outlast_their_records)
 {
