Avoid targets that are replaced or stay silent, with growing pauses

Six refusals in a row also made an item lose the events that it had.

Ruled out: full engines; all but 90 of the refusals have status 421.

Change: routing/target_health decides from the ends of attempts whether a target is avoided; refusals no longer count as broken attempts of an item.

--- a/src/api/operator_api.cpp
+++ b/src/api/operator_api.cpp
@@ -74,7 +74,7 @@
     row["reported_running"] = load.reported.running;
     row["reported_waiting"] = load.reported.waiting;
     row["slowdown"] = load.reported.slowdown;
-    row["avoided"] = common::clock::now() < load.avoided_until;
+    row["avoided"] = load.health.is_avoided(common::clock::now());
     row["connections_made"] = it.connections_made();
     return row;
 }
--- a/src/batch/attempt_verdict.cpp
+++ b/src/batch/attempt_verdict.cpp
@@ -10,10 +10,10 @@
 
 using outcome = targets::attempt_end::outcome;
 
-/// Pause before an item is tried again after an attempt that ended without an
-/// answer; grows with each.
-constexpr auto broken_pause = std::chrono::milliseconds(50);
-constexpr std::uint32_t max_broken_pauses = 20;
+/// Pause before an item is tried again after an attempt that brought nothing;
+/// grows with each.
+constexpr auto retry_pause = std::chrono::milliseconds(50);
+constexpr std::uint32_t max_retry_pauses = 20;
 
 /// Attempts without an answer after which an item starts from its beginning:
 /// what was received so far may not be what its targets go on from.
@@ -36,7 +36,7 @@
                           item.failures >= max_failures;
     if (hopeless)
         return {proto::ITEM_DEAD};
-    return {std::nullopt, broken_pause};
+    return {std::nullopt, retry_pause};
 }
 
 } // namespace
@@ -46,12 +46,13 @@
 {
     if (end.what == outcome::complete)
         return judge_answer(item, end.status, meaning, max_failures);
-    if (end.what != outcome::not_run && item.data.not_repeatable())
+    const bool was_sent = end.what != outcome::not_run;
+    if (was_sent && item.data.not_repeatable())
         return {proto::ITEM_UNKNOWN};
-    ++item.broken;
-    return {std::nullopt,
-            broken_pause * std::min(item.broken, max_broken_pauses),
-            item.broken == max_broken_resumes};
+    ++(was_sent ? item.broken : item.refused);
+    const auto pauses = item.broken + item.refused;
+    return {std::nullopt, retry_pause * std::min(pauses, max_retry_pauses),
+            was_sent && item.broken == max_broken_resumes};
 }
 
 } // namespace tanagertrack::batch
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -53,8 +53,10 @@
     std::uint32_t attempts = 0;
     std::uint32_t failures = 0;
 
-    /// Attempts that ended without an answer, one after the other.
+    /// Attempts since the last event that ended without an answer, and those
+    /// that the target did not run.
     std::uint32_t broken = 0;
+    std::uint32_t refused = 0;
 
     /// Target that failed last; not chosen again while there are others.
     std::string avoided;
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -398,6 +398,7 @@
         [item](std::string_view piece, std::optional<std::uint64_t> event)
     {
         item->broken = 0;
+        item->refused = 0;
         if (!event)
         {
             // A whole answer, or the body of a failure.
@@ -546,6 +547,7 @@
         if (now - it->attempt->last_progress() < patience)
             continue;
         it->avoided = it->attempt->where()->id();
+        it->attempt->where()->note_failure(routing::target_failure::unanswered);
         if (it->may_be_taken_back())
         {
             stop_attempt(it, "silent");
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -403,7 +403,7 @@
 
     // The old target drops the request when its connection closes.
     const auto silent = std::exchange(attempt_, nullptr);
-    silent->cancel();
+    silent->cancel_silent();
     ++runs_;
     excluded_.push_back(silent->where()->id());
     take_failed({outcome::failed, 0,
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -99,7 +99,7 @@
     double cost = wait_ms + way_ms[static_cast<unsigned>(it.far)] +
                   to_ms(settings_.first_token) * busy * slowdown(it, now) +
                   to_ms(settings_.online_risk) * online_share;
-    if (now < it.avoided_until)
+    if (it.health.is_avoided(now))
         cost += avoided_ms;
     return cost;
 }
@@ -146,7 +146,7 @@
     {
         const auto& it = *candidates[i];
         const auto kept = std::min(reserve, it.slots / min_slots_per_reserve);
-        if (it.free_slots() <= kept || now < it.avoided_until)
+        if (it.free_slots() <= kept || it.health.is_avoided(now))
             continue;
         const double tie = to_ms(settings_.tie_width) *
                            static_cast<double>(random_(tie_steps)) / tie_steps;
--- a/src/routing/target_load.hpp
+++ b/src/routing/target_load.hpp
@@ -3,6 +3,7 @@
 
 #include "common/clock.hpp"
 #include "routing/subset.hpp"
+#include "routing/target_health.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -48,8 +49,8 @@
 
     load_report reported;
 
-    /// Not chosen before this time, unless nothing else is left.
-    common::time_point avoided_until;
+    /// What the ends of this entry's attempts say of the target.
+    target_health health;
 
     /// Online requests under way.
     std::uint32_t online() const
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -18,8 +18,7 @@
 /// Bytes of one event of a stream.
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
 
-/// Time for which a target is avoided that can't be connected to.
-constexpr auto unreachable_time = std::chrono::milliseconds(1000);
+constexpr unsigned first_server_error = 500;
 
 bool is_success(unsigned status)
 {
@@ -66,10 +65,7 @@
         return;
     }
     if (ec)
-    {
-        where_->load.avoided_until = common::clock::now() + unreachable_time;
         return finish({outcome::not_run, 0, ec, "connect_failed"});
-    }
     connection_ = std::move(taken.connection);
     first_on_connection_ = !taken.reused;
     sent_ = true;
@@ -110,7 +106,8 @@
     }
     status_ = head.status;
     answered_ = true;
-    not_run_ = kind == answer_kind::not_run;
+    replaced_ = kind == answer_kind::replaced;
+    not_run_ = replaced_ || kind == answer_kind::not_run;
     splits_events_ = order_.events && is_success(status_);
     if (!not_run_ && hooks_.on_head)
         hooks_.on_head(head);
@@ -152,7 +149,10 @@
     if (ended_)
         return;
     if (not_run_)
-        return finish({outcome::not_run, status_, {}, "refused_by_target"});
+        return finish({outcome::not_run,
+                       status_,
+                       {},
+                       replaced_ ? "target_replaced" : "refused_by_target"});
     if (ec)
         return finish({outcome::failed, status_, ec,
                        answered_ ? "answer_cut" : "no_answer"});
@@ -168,6 +168,7 @@
     const attempt_ptr self(this);
     ended_ = true;
     leave_load();
+    judge_target(end);
     if (auto connection = std::exchange(connection_, nullptr))
         where_->keep(connection);
     auto hooks = std::exchange(hooks_, {});
@@ -175,6 +176,27 @@
         hooks.on_end(end);
 }
 
+void attempt::judge_target(const attempt_end& end)
+{
+    using routing::target_failure;
+    if (end.what == outcome::failed)
+        return where_->note_failure(target_failure::unanswered);
+    if (replaced_)
+        return where_->note_failure(target_failure::replaced);
+    if (end.what == outcome::not_run && !sent_)
+        return where_->note_failure(target_failure::unreachable);
+
+    // A refusal, or a failure that may be the request's own, says nothing.
+    if (end.what == outcome::complete && status_ < first_server_error)
+        where_->note_answer();
+}
+
+void attempt::cancel_silent()
+{
+    where_->note_failure(routing::target_failure::unanswered);
+    cancel();
+}
+
 void attempt::cancel()
 {
     if (std::exchange(ended_, true))
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -104,6 +104,9 @@
     /// connection is closed. No hook is called afterwards.
     void cancel();
 
+    /// Ends the attempt because its target fell silent.
+    void cancel_silent();
+
     /// Stops and restarts reading the answer.
     void pause(bool paused);
 
@@ -142,6 +145,7 @@
     void take_event(const http::stream_event& event);
     void take_end(std::error_code ec);
     void finish(attempt_end end);
+    void judge_target(const attempt_end& end);
     void leave_load();
 
     const target_protocol& protocol_;
@@ -161,6 +165,7 @@
     bool sent_ = false;
     bool answered_ = false;
     bool not_run_ = false;
+    bool replaced_ = false;
     bool splits_events_ = false;
     bool ended_ = false;
 };
--- a/src/targets/protocol.hpp
+++ b/src/targets/protocol.hpp
@@ -47,6 +47,10 @@
     /// The target certainly did not run the request.
     not_run,
 
+    /// The target that was meant is not at the address any more; the one that
+    /// is there did not run the request.
+    replaced,
+
     /// It belongs to another request, or to none.
     foreign
 };
--- a/src/targets/target.cpp
+++ b/src/targets/target.cpp
@@ -1,6 +1,7 @@
 #include "targets/target.hpp"
 
 #include "common/hash.hpp"
+#include "common/logging.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -91,6 +92,27 @@
     load_changed_();
 }
 
+void target::note_failure(routing::target_failure why)
+{
+    const auto now = common::clock::now();
+    if (!load.health.note_failure(why, now))
+        return;
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
+        load.health.avoided_until() - now);
+    common::log_info("target_avoided", {{"target", id_},
+                                        {"why", to_string(why)},
+                                        {"pauses", load.health.pauses()},
+                                        {"pause_ms", pause.count()}});
+}
+
+void target::note_answer()
+{
+    if (load.health.pauses() != 0)
+        common::log_info("target_recovered",
+                         {{"target", id_}, {"pauses", load.health.pauses()}});
+    load.health.note_answer();
+}
+
 void target::depart()
 {
     in_use_ = false;
--- a/src/targets/target.hpp
+++ b/src/targets/target.hpp
@@ -95,6 +95,11 @@
     void add_request(routing::work_class work);
     void end_request(routing::work_class work);
 
+    /// Takes the end of an attempt into account: a target that fails is
+    /// avoided for a while, one that answers is not.
+    void note_failure(routing::target_failure why);
+    void note_answer();
+
     /// Load of the target.
     routing::target_load load;
 
--- a/test/batch/test_decisions.cpp
+++ b/test/batch/test_decisions.cpp
@@ -77,6 +77,23 @@
     BOOST_TEST(restarts == 1);
 }
 
+// Guards against an item that loses what it has received because targets
+// refuse it, as they do while announcements lag behind replaced targets.
+BOOST_AUTO_TEST_CASE(refused_attempts_pause_longer_and_lose_nothing)
+{
+    batch::item_run item;
+    std::chrono::milliseconds last{0};
+    for (int n = 0; n < 10; ++n)
+    {
+        const auto verdict = batch::judge_attempt(
+            item, make_end(outcome::not_run, 0), failure_kind::transient, 3);
+        BOOST_TEST(!verdict.end.has_value());
+        BOOST_TEST(!verdict.restarts);
+        BOOST_TEST((verdict.pause > last));
+        last = verdict.pause;
+    }
+}
+
 // Guards against entries that all take their items back for one online
 // request, or that all leave it to the others.
 BOOST_AUTO_TEST_CASE(entries_share_what_is_taken_back)
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -156,7 +156,11 @@
     BOOST_TEST((judge(answer_with(200, {}), fresh) == answer_kind::foreign));
     BOOST_TEST(
         (judge(answer_with(503, {id, not_run}), used) == answer_kind::not_run));
-    BOOST_TEST((judge(answer_with(421, {id}), used) == answer_kind::not_run));
+
+    // Another target has the address now: see target_health.
+    BOOST_TEST((judge(answer_with(421, {id}), used) == answer_kind::replaced));
+    BOOST_TEST(
+        (judge(answer_with(421, {other}), used) == answer_kind::foreign));
 
     // A 503 that does not say so may have run.
     BOOST_TEST((judge(answer_with(503, {id}), used) == answer_kind::answer));
--- a/test/routing/test_placement.cpp
+++ b/test/routing/test_placement.cpp
@@ -103,10 +103,10 @@
 // and against a refusal while only such targets are left.
 BOOST_AUTO_TEST_CASE(failed_target_is_the_last_choice)
 {
-    loads[0].avoided_until = now + 1s;
+    loads[0].health.note_failure(target_failure::unreachable, now);
     loads[1].own_online = 12;
     BOOST_TEST(online() == 1);
-    loads[1].avoided_until = now + 1s;
+    loads[1].health.note_failure(target_failure::unreachable, now);
     BOOST_TEST(online() == 0);
     BOOST_TEST(!place.choose_batch(all(), 0, now).has_value());
 }
--- a/test/support/test_protocol.hpp
+++ b/test/support/test_protocol.hpp
@@ -10,7 +10,7 @@
 {
 
 /// A plain protocol of targets for tests: header fields Id, Target, After and
-/// Left; an answer with Not-Run was not run.
+/// Left; an answer with Not-Run or Replaced was not run.
 inline targets::target_protocol make_test_protocol()
 {
     targets::target_protocol protocol;
@@ -37,6 +37,8 @@
     {
         if (head.headers.find("Id") != context.request_id)
             return targets::answer_kind::foreign;
+        if (head.headers.contains("Replaced"))
+            return targets::answer_kind::replaced;
         return head.headers.contains("Not-Run") ? targets::answer_kind::not_run
                                                 : targets::answer_kind::answer;
     };
--- a/test/targets/test_attempt.cpp
+++ b/test/targets/test_attempt.cpp
@@ -231,7 +231,38 @@
     server.stop();
     const auto it = run("a");
     BOOST_TEST((it.what == outcome::not_run));
-    BOOST_TEST((where->load.avoided_until > common::clock::now()));
+    BOOST_TEST(where->load.health.is_avoided(common::clock::now()));
+}
+
+// Guards against a target that is gone and, being empty, gets all work until
+// its announcement lapses.
+BOOST_AUTO_TEST_CASE(replaced_target_did_not_run_it_and_is_avoided)
+{
+    server.add(whole_answer(421, "", answers_to("a") + "Replaced: 1\r\n"));
+    BOOST_TEST((run("a").what == outcome::not_run));
+    BOOST_TEST(where->load.health.is_avoided(common::clock::now()));
+}
+
+BOOST_AUTO_TEST_CASE(answer_ends_the_avoidance)
+{
+    where->note_failure(routing::target_failure::unreachable);
+    server.add(whole_answer(200, "x", answers_to("a")));
+    run("a");
+    BOOST_TEST(!where->load.health.is_avoided(common::clock::now()));
+}
+
+// Guards against a target that falls silent again and again and is chosen
+// again at once.
+BOOST_AUTO_TEST_CASE(target_that_stays_silent_is_avoided)
+{
+    for (int n = 0; n < 2; ++n)
+    {
+        BOOST_TEST(!where->load.health.is_avoided(common::clock::now()));
+        const auto it = start("a");
+        BOOST_REQUIRE(run_until(context, [&] { return it->may_have_run(); }));
+        it->cancel_silent();
+    }
+    BOOST_TEST(where->load.health.is_avoided(common::clock::now()));
 }
 
 // The target drops a request when its connection closes.
