Give free places to the most urgent batch items of all entries

And due time alone as the order made every item late once more was asked for than there was.

Ruled out: the time to take jobs over (all entries read the log and send items within 0.1 s of their start).

Change: load messages tell the waiting items by urgency; the places of a service, the emptiest targets first, are matched to items in the order of urgency; an entry that can't use its places holds the others up for 40 ms at most. Items that can't be in time any more come behind those that can: judged by the run time of the items that were done, and for items that have not begun by the whole turnaround. batch.order: by_entry is the baseline.

--- /dev/null
+++ b/src/batch/environment.cpp
@@ -0,0 +1,11 @@
+#include "batch/environment.hpp"
+
+namespace tanagertrack::batch
+{
+
+batch_order parse_batch_order(std::string_view name)
+{
+    return name == "by_entry" ? batch_order::by_entry : batch_order::urgency;
+}
+
+} // namespace tanagertrack::batch
--- a/src/batch/environment.hpp
+++ b/src/batch/environment.hpp
@@ -3,6 +3,7 @@
 
 #include "fleet/configuration.hpp"
 #include "routing/placement.hpp"
+#include "routing/urgency.hpp"
 #include "targets/protocol.hpp"
 #include "targets/target_set.hpp"
 
@@ -10,6 +11,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <string>
+#include <string_view>
 
 namespace boost::asio
 {
@@ -19,9 +22,24 @@
 namespace tanagertrack::batch
 {
 
+/// Which items get the free places.
+enum class batch_order : std::uint8_t
+{
+    /// The most urgent of all entries; those that can't be in time come last.
+    urgency,
+
+    /// Baseline: each entry in its turn, its items by due time.
+    by_entry
+};
+
+/// Order of a setting's value; `urgency` for an unknown one.
+batch_order parse_batch_order(std::string_view name);
+
 /// Times and bounds of batch work.
 struct batch_settings
 {
+    batch_order order = batch_order::urgency;
+
     /// Places of each target that batch work leaves free.
     std::uint32_t reserve = 0;
 
@@ -83,8 +101,10 @@
     /// Items on a target that other entries take back before this one does.
     std::function<std::uint32_t(const targets::target&)> yields_before;
 
-    /// Free places of a target that other entries may take before this one.
-    std::function<std::uint32_t(const targets::target&)> starts_before;
+    /// Waiting items of other entries that get a place of a service before an
+    /// item of this one does.
+    std::function<std::uint32_t(const std::string&, const routing::urgency&)>
+        waiting_before;
 };
 
 } // namespace tanagertrack::batch
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -3,24 +3,32 @@
 
 #include "common/clock.hpp"
 #include "proto/jobs.pb.h"
+#include "routing/urgency.hpp"
 #include "targets/attempt.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 
 namespace tanagertrack::batch
 {
 
-/// Order in which items start: due time, then age of the job, then place in
-/// the job.
-using item_rank = std::tuple<common::time_point, std::uint64_t, std::uint32_t>;
+/// Order in which items start: urgency, then age of the job, then place in the
+/// job.
+struct item_rank
+{
+    routing::urgency how;
+    std::uint64_t order = 0;
+    std::uint32_t index = 0;
+
+    friend auto operator<=>(const item_rank&, const item_rank&) = default;
+};
 
 /// How far the permission to run an item that may not be repeated is.
 enum class item_intent : std::uint8_t
@@ -58,6 +66,12 @@
     std::uint32_t broken = 0;
     std::uint32_t refused = 0;
 
+    /// When the first attempt began.
+    std::optional<common::time_point> first_started;
+
+    /// Time under way in the attempts that have ended.
+    common::duration run_time{0};
+
     /// Target that failed last; not chosen again while there are others.
     std::string avoided;
     targets::attempt_ptr attempt;
@@ -69,6 +83,12 @@
     /// The item was ended or is not this process's any more.
     bool over = false;
 
+    /// Time under way in all attempts.
+    common::duration run_time_at(common::time_point now) const
+    {
+        return attempt ? run_time + (now - attempt->started_at()) : run_time;
+    }
+
     /// Whether it can be taken back and started again.
     bool may_be_taken_back() const
     {
@@ -121,7 +141,7 @@
     item_run_ptr it(new item_run);
     it->job = run.id;
     it->index = index;
-    it->rank = {run.due, run.order, index};
+    it->rank = {{false, run.due}, run.order, index};
     it->data = data;
     it->data_bytes = data.ByteSizeLong();
     run.items[index] = it;
--- a/src/batch/preemption.cpp
+++ b/src/batch/preemption.cpp
@@ -11,8 +11,7 @@
 
 bool gives_way_before(const item_run& a, const item_run& b)
 {
-    return std::pair(std::get<0>(a.rank), b.events) >
-           std::pair(std::get<0>(b.rank), a.events);
+    return std::pair(a.rank.how, b.events) > std::pair(b.rank.how, a.events);
 }
 
 } // namespace
--- a/src/batch/preemption.hpp
+++ b/src/batch/preemption.hpp
@@ -10,8 +10,7 @@
 {
 
 /// The item under way on a target that gives its place to online work, or
-/// none: the one with the most time left; among equals the one that has got
-/// least far.
+/// none: the least urgent one; among equals the one that has got least far.
 item_run_ptr choose_preempted(const std::set<item_run_ptr>& running,
                               const targets::target& where);
 
--- /dev/null
+++ b/src/batch/run_time_estimate.cpp
@@ -0,0 +1,31 @@
+#include "batch/run_time_estimate.hpp"
+
+#include <algorithm>
+
+namespace tanagertrack::batch
+{
+
+namespace
+{
+
+/// Share of the last item in the mean is one of these.
+constexpr int smoothing = 10;
+
+} // namespace
+
+void run_time_estimate::note_done(common::duration run_time,
+                                  common::duration turnaround)
+{
+    const bool first = run_time_ == common::duration(0);
+    run_time_ =
+        first ? run_time : run_time_ + (run_time - run_time_) / smoothing;
+    turnaround_ = first ? turnaround
+                        : turnaround_ + (turnaround - turnaround_) / smoothing;
+}
+
+common::duration run_time_estimate::time_left(common::duration run_time) const
+{
+    return std::max(common::duration(0), run_time_ - run_time);
+}
+
+} // namespace tanagertrack::batch
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -94,6 +94,7 @@
 {
     const auto now = common::clock::now();
     stop_silent(now);
+    find_late(now);
     for (auto& [id, run] : runs_)
     {
         if (run.routeless_since &&
@@ -318,7 +319,7 @@
         const auto service = find_service(run, *item);
         if (busy.contains(service) || !may_start(run, item, service, now))
             continue;
-        const auto where = choose_target(*item, service);
+        const auto where = choose_target(*item, service, now);
         if (!where)
         {
             busy.insert(service);
@@ -367,24 +368,57 @@
 }
 
 targets::target_ptr runner::choose_target(const item_run& item,
-                                          const std::string& service)
+                                          const std::string& service,
+                                          common::time_point now)
 {
     std::vector<targets::target_ptr> usable;
     std::vector<const routing::target_load*> loads;
     const auto& all = shared_.targets.of_service(service);
     for (const auto& it : all)
     {
-        const bool avoided = it->id() == item.avoided && all.size() > 1;
-        if (avoided || it->load.free_slots() <= shared_.starts_before(*it))
+        if (it->id() == item.avoided && all.size() > 1)
             continue;
         usable.push_back(it);
         loads.push_back(&it->load);
     }
-    const auto choice = shared_.place.choose_batch(
-        loads, shared_.settings.reserve, common::clock::now());
+    const auto reserve = shared_.settings.reserve;
+    const auto turn = turns_[service].left_to_others(
+        routing::placement::count_batch_places(loads, reserve, now),
+        shared_.waiting_before(service, item.rank.how), now);
+    const auto choice = shared_.place.choose_batch(loads, reserve, turn, now);
     return choice ? usable[choice->index] : nullptr;
 }
 
+bool runner::is_late(const item_run& item, common::time_point now) const
+{
+    const auto needed = item.first_started
+                            ? run_times_.time_left(item.run_time_at(now))
+                            : run_times_.turnaround();
+    return item.rank.how.due - now < needed;
+}
+
+void runner::find_late(common::time_point now)
+{
+    if (shared_.settings.order != batch_order::urgency)
+        return;
+    std::vector<item_run_ptr> late;
+    for (const auto& [rank, item] : pending_)
+    {
+        if (rank.how.is_late)
+            break;
+        if (is_late(*item, now))
+            late.push_back(item);
+    }
+    for (const auto& item : late)
+    {
+        pending_.erase(item->rank);
+        item->rank.how.is_late = true;
+        pending_[item->rank] = item;
+    }
+    for (const auto& item : running_)
+        item->rank.how.is_late |= is_late(*item, now);
+}
+
 void runner::send(const job_run& run, const item_run_ptr& item,
                   const targets::target_ptr& where)
 {
@@ -417,6 +451,8 @@
     };
     ++counts_.started;
     ++item->attempts;
+    if (!item->first_started)
+        item->first_started = common::clock::now();
     common::log_info("item_sent",
                      {{"job", item->job},
                       {"item", item->data.id()},
@@ -438,6 +474,7 @@
     running_.erase(item);
     if (item->over)
         return;
+    item->run_time += common::clock::now() - attempt->started_at();
     const auto& target = attempt->where()->id();
     const auto verdict =
         judge_attempt(*item, end, shared_.judge_failure(end.status),
@@ -455,6 +492,9 @@
                           {"events", item->events},
                           {"failures", item->failures},
                           {"again_after_ms", verdict.pause.count()}});
+    if (verdict.end == proto::ITEM_DONE && !item->rank.how.is_late)
+        run_times_.note_done(item->run_time,
+                             common::clock::now() - *item->first_started);
     if (verdict.end)
         end_item(item, *verdict.end, end.status, target);
     else
@@ -529,6 +569,7 @@
     const auto attempt = std::exchange(item->attempt, nullptr);
     attempt->cancel();
     running_.erase(item);
+    item->run_time += common::clock::now() - attempt->started_at();
     common::log_info("item_stopped", {{"job", item->job},
                                       {"item", item->data.id()},
                                       {"target", attempt->where()->id()},
@@ -584,6 +625,31 @@
 
 // ---- counts ----
 
+std::vector<routing::waiting_items>
+runner::waiting(std::size_t max_groups) const
+{
+    std::vector<routing::waiting_items> groups;
+    if (paused_ || handed_over_)
+        return groups;
+    const auto now = common::clock::now();
+    std::string_view job;
+    for (const auto& [rank, item] : pending_)
+    {
+        if (item->not_before > now)
+            continue;
+        if (groups.empty() || item->job != job || groups.back().how != rank.how)
+        {
+            if (groups.size() == max_groups)
+                break;
+            job = item->job;
+            const auto& run = runs_.find(item->job)->second;
+            groups.push_back({find_service(run, *item), rank.how, 0});
+        }
+        ++groups.back().count;
+    }
+    return groups;
+}
+
 runner_counts runner::counts() const
 {
     auto counts = counts_;
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -7,6 +7,8 @@
 #include "batch/job_log.hpp"
 #include "batch/part_loader.hpp"
 #include "batch/result_recorder.hpp"
+#include "batch/run_time_estimate.hpp"
+#include "batch/start_turn.hpp"
 #include "batch/text_store.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -70,6 +72,10 @@
     /// Looks for items to start, soon; several calls share one look.
     void pump_soon();
 
+    /// Items that wait for a place and may start now, the most urgent first;
+    /// at most `max_groups` urgencies.
+    std::vector<routing::waiting_items> waiting(std::size_t max_groups) const;
+
     runner_counts counts() const;
 
     /// Whether an item of the job is under way, or its end is not recorded.
@@ -100,7 +106,10 @@
     void take_intent(const proto::ItemIntent& intent,
                      state::intent_verdict verdict);
     targets::target_ptr choose_target(const item_run& item,
-                                      const std::string& service);
+                                      const std::string& service,
+                                      common::time_point now);
+    void find_late(common::time_point now);
+    bool is_late(const item_run& item, common::time_point now) const;
     void send(const job_run& run, const item_run_ptr& item,
               const targets::target_ptr& where);
     void take_end(const item_run_ptr& item, const targets::attempt_end& end);
@@ -123,6 +132,10 @@
     std::map<item_rank, item_run_ptr> pending_;
     std::set<item_run_ptr> running_;
 
+    /// By service.
+    std::map<std::string, start_turn, std::less<>> turns_;
+    run_time_estimate run_times_;
+
     /// Bytes of all items that are loaded.
     std::size_t loaded_bytes_ = 0;
     runner_counts counts_;
--- /dev/null
+++ b/src/batch/start_turn.hpp
@@ -0,0 +1,34 @@
+#ifndef TANAGERTRACK_BATCH_START_TURN_HPP
+#define TANAGERTRACK_BATCH_START_TURN_HPP
+
+#include "common/clock.hpp"
+
+#include <chrono>
+#include <cstdint>
+
+namespace tanagertrack::batch
+{
+
+/// Whose turn it is to take the free places of a service. Each process leaves
+/// places to the more urgent items of others. One that can't start its items,
+/// being cut off or frozen, must not keep the others from working: while places
+/// stay free, the turn moves on. Pure: time is an argument. One thread.
+class start_turn
+{
+public:
+    /// Time in which a process learns of a free place and takes it.
+    static constexpr std::chrono::milliseconds patience{40};
+
+    /// Places that are left to others, of `free` places for which they have
+    /// `before` more urgent items.
+    std::uint32_t left_to_others(std::uint32_t free, std::uint32_t before,
+                                 common::time_point now);
+
+private:
+    std::uint32_t last_free_ = 0;
+    common::time_point free_since_;
+};
+
+} // namespace tanagertrack::batch
+
+#endif
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -79,6 +79,7 @@
 /// Batch work on an entry.
 struct batch_settings
 {
+    std::string order = "urgency";
     std::size_t max_items_per_job = 140000;
     std::uint32_t reserved_slots = 1;
     std::size_t max_unrecorded_results = 4096;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -21,6 +21,10 @@
 /// Digits of the random part of a process's name.
 constexpr std::size_t member_digits = 8;
 
+/// Groups of waiting items that other entries are told of. Those behind them
+/// are less urgent than more items than there are places.
+constexpr std::size_t max_waiting_groups = 8;
+
 routing::random_below make_random()
 {
     const auto engine =
@@ -41,6 +45,7 @@
 batch::batch_settings batch_settings(const config::settings& it)
 {
     batch::batch_settings settings;
+    settings.order = batch::parse_batch_order(it.batch.order);
     settings.reserve = it.batch.reserved_slots;
     settings.max_unrecorded = it.batch.max_unrecorded_results;
     settings.max_unrecorded_bytes = it.batch.max_unrecorded_bytes;
@@ -181,9 +186,12 @@
             parts_.judge_failure,
             [this](const targets::target& it)
             { return exchange_.loads().batch_before(it.key(), member_); },
-            [this](const targets::target& it)
+            [this](const std::string& service, const routing::urgency& how)
             {
-                return exchange_.loads().starters_before(it.key(), member_);
+                const auto& loads = exchange_.loads();
+                return batch_settings_.order == batch::batch_order::by_entry
+                           ? loads.entries_before(service, member_)
+                           : loads.waiting_before(service, how, member_);
             }};
 }
 
@@ -229,8 +237,7 @@
 
 peers::own_state entry_core::own_state() const
 {
-    return {static_cast<std::uint32_t>(items_.counts().pending),
-            parts_.store.last_contact()};
+    return {items_.waiting(max_waiting_groups), parts_.store.last_contact()};
 }
 
 void entry_core::start()
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -24,6 +24,17 @@
 /// Reports that are older say nothing that the others don't know.
 constexpr auto max_report_age = milliseconds(500);
 
+void add_waiting(LoadMessage& message, const routing::waiting_items& from,
+                 common::time_point now)
+{
+    auto& it = *message.add_waiting();
+    it.set_service(service_key(from.service));
+    it.set_slack_ms(static_cast<std::int32_t>(
+        duration_cast<milliseconds>(from.how.due - now).count()));
+    it.set_late(from.how.is_late);
+    it.set_count(from.count);
+}
+
 } // namespace
 
 load_exchange::load_exchange(asio::io_context& context,
@@ -133,7 +144,8 @@
     message.set_member(member_);
     message.set_sequence(++sequence_);
     const auto own = own_();
-    message.set_waiting_items(own.waiting_items);
+    for (const auto& it : own.waiting)
+        add_waiting(message, it, now);
     message.set_store_age_ms(static_cast<std::uint32_t>(
         duration_cast<milliseconds>(now - own.store_contact).count()));
     targets_.for_each(
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "common/endpoint.hpp"
 #include "peers/peer_loads.hpp"
+#include "routing/urgency.hpp"
 #include "targets/target_set.hpp"
 
 #include <boost/asio/ip/udp.hpp>
@@ -15,6 +16,7 @@
 #include <map>
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace tanagertrack::peers
 {
@@ -37,7 +39,8 @@
 /// State of this process that goes into a message.
 struct own_state
 {
-    std::uint32_t waiting_items = 0;
+    /// Batch items that wait for a place, the most urgent first.
+    std::vector<routing::waiting_items> waiting;
 
     /// When the store last answered.
     common::time_point store_contact;
--- a/src/peers/peer_loads.cpp
+++ b/src/peers/peer_loads.cpp
@@ -8,6 +8,11 @@
 namespace tanagertrack::peers
 {
 
+std::uint32_t service_key(std::string_view service)
+{
+    return static_cast<std::uint32_t>(common::hash64(service));
+}
+
 bool peer_loads::take(const peers::LoadMessage& message, common::time_point now)
 {
     auto& it = members_[message.member()];
@@ -15,7 +20,12 @@
         return false;
     it.sequence = message.sequence();
     it.heard = now;
-    it.waiting_items = message.waiting_items();
+    it.waiting.clear();
+    for (const auto& group : message.waiting())
+        it.waiting.push_back(
+            {group.service(),
+             {group.late(), now + std::chrono::milliseconds(group.slack_ms())},
+             group.count()});
     it.store_contact = now - std::chrono::milliseconds(message.store_age_ms());
     drop_uses(it);
     for (const auto& use : message.uses())
@@ -91,14 +101,38 @@
     return sum;
 }
 
-std::uint32_t peer_loads::starters_before(std::uint32_t target,
-                                          std::string_view self) const
+std::uint32_t peer_loads::waiting_before(std::string_view service,
+                                         const routing::urgency& how,
+                                         std::string_view self) const
 {
-    const auto own = rank(target, self);
+    const auto key = service_key(service);
+    std::uint32_t sum = 0;
+    for (const auto& [member, it] : members_)
+    {
+        for (const auto& group : it.waiting)
+        {
+            const bool before =
+                group.how < how || (group.how == how && member < self);
+            if (before && group.service == key)
+                sum += group.count;
+        }
+    }
+    return sum;
+}
+
+std::uint32_t peer_loads::entries_before(std::string_view service,
+                                         std::string_view self) const
+{
+    const auto key = service_key(service);
+    const auto own = rank(key, self);
     return static_cast<std::uint32_t>(std::ranges::count_if(
         members_,
-        [&](const auto& it) {
-            return it.second.waiting_items != 0 && rank(target, it.first) < own;
+        [&](const auto& it)
+        {
+            const bool waits =
+                std::ranges::any_of(it.second.waiting, [key](const auto& group)
+                                    { return group.service == key; });
+            return waits && rank(key, it.first) < own;
         }));
 }
 
--- a/src/peers/peer_loads.hpp
+++ b/src/peers/peer_loads.hpp
@@ -3,6 +3,7 @@
 
 #include "common/clock.hpp"
 #include "proto/peers.pb.h"
+#include "routing/urgency.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tanagertrack::peers
 {
@@ -23,6 +25,9 @@
     std::uint32_t batch = 0;
 };
 
+/// Short name of a service in messages.
+std::uint32_t service_key(std::string_view service);
+
 /// What the other entries told of their load. Pure: time is an argument. One
 /// thread.
 class peer_loads
@@ -48,10 +53,16 @@
     std::uint32_t batch_before(std::uint32_t target,
                                std::string_view self) const;
 
-    /// Entries with waiting items that may take a free place of the target
-    /// before `self`.
-    std::uint32_t starters_before(std::uint32_t target,
-                                  std::string_view self) const;
+    /// Waiting items of other entries that get a place of a service before an
+    /// item of `self` does.
+    std::uint32_t waiting_before(std::string_view service,
+                                 const routing::urgency& how,
+                                 std::string_view self) const;
+
+    /// Entries with waiting items whose turn on a service is before that of
+    /// `self`, whatever the urgency (baseline).
+    std::uint32_t entries_before(std::string_view service,
+                                 std::string_view self) const;
 
     /// When the store last answered an entry; nothing for one that is not
     /// heard.
@@ -68,12 +79,20 @@
     }
 
 private:
+    /// Items of one urgency that wait for a place of a service.
+    struct waiting_group
+    {
+        std::uint32_t service = 0;
+        routing::urgency how;
+        std::uint32_t count = 0;
+    };
+
     struct member_state
     {
         std::uint64_t sequence = 0;
         common::time_point heard;
         std::map<std::uint32_t, target_use> uses;
-        std::uint32_t waiting_items = 0;
+        std::vector<waiting_group> waiting;
         common::time_point store_contact;
     };
 
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -49,6 +49,31 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(value));
 }
 
+/// Places of a target for batch items.
+std::uint32_t batch_places(const target_load& it, std::uint32_t reserve,
+                           common::time_point now)
+{
+    const auto kept = std::min(reserve, it.slots / min_slots_per_reserve);
+    const auto free = it.free_slots();
+    return it.health.is_avoided(now) ? 0 : free - std::min(free, kept);
+}
+
+/// A place for a batch item.
+struct batch_place
+{
+    /// Places that its target has left with it.
+    std::uint32_t level = 0;
+
+    /// Name of its target: the order among places of one level.
+    std::uint32_t key = 0;
+    std::size_t candidate = 0;
+};
+
+bool comes_before(const batch_place& a, const batch_place& b)
+{
+    return std::pair(b.level, a.key) < std::pair(a.level, b.key);
+}
+
 } // namespace
 
 placement_policy parse_placement_policy(std::string_view name)
@@ -137,27 +162,31 @@
 
 std::optional<placement_choice>
 placement::choose_batch(std::span<const target_load* const> candidates,
-                        std::uint32_t reserve, common::time_point now)
+                        std::uint32_t reserve, std::uint32_t turn,
+                        common::time_point now) const
 {
-    std::optional<placement_choice> choice;
-    double best = 0;
-    constexpr std::size_t tie_steps = 1000;
+    std::vector<batch_place> places;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
         const auto& it = *candidates[i];
-        const auto kept = std::min(reserve, it.slots / min_slots_per_reserve);
-        if (it.free_slots() <= kept || it.health.is_avoided(now))
-            continue;
-        const double tie = to_ms(settings_.tie_width) *
-                           static_cast<double>(random_(tie_steps)) / tie_steps;
-        const double cost = cost_ms(it, 0, now) + tie;
-        if (!choice || cost < best)
-        {
-            best = cost;
-            choice = placement_choice{i, std::chrono::milliseconds(0)};
-        }
+        for (auto n = batch_places(it, reserve, now); n != 0; --n)
+            places.push_back({n, it.key, i});
     }
-    return choice;
+    if (places.size() <= turn)
+        return std::nullopt;
+    const auto chosen = places.begin() + turn;
+    std::ranges::nth_element(places, chosen, comes_before);
+    return placement_choice{chosen->candidate, std::chrono::milliseconds(0)};
+}
+
+std::uint32_t
+placement::count_batch_places(std::span<const target_load* const> candidates,
+                              std::uint32_t reserve, common::time_point now)
+{
+    std::uint32_t sum = 0;
+    for (const auto* it : candidates)
+        sum += batch_places(*it, reserve, now);
+    return sum;
 }
 
 std::size_t
--- a/src/routing/target_load.hpp
+++ b/src/routing/target_load.hpp
@@ -37,6 +37,9 @@
 /// What an entry knows of the load of one target.
 struct target_load
 {
+    /// Short name of the target, the same in all entries.
+    std::uint32_t key = 0;
+
     /// Requests that the target runs at a time, at least 1.
     std::uint32_t slots = 1;
     distance far = distance::same_data_centre;
--- a/src/targets/target.cpp
+++ b/src/targets/target.cpp
@@ -27,6 +27,7 @@
     : context_(context), load_changed_(load_changed), id_(std::move(id)),
       key_(static_cast<std::uint32_t>(common::hash64(id_)))
 {
+    load.key = key_;
     set_announced(std::move(announced));
 }
 
--- a/test/batch/test_decisions.cpp
+++ b/test/batch/test_decisions.cpp
@@ -1,6 +1,8 @@
 #include "batch/attempt_verdict.hpp"
 #include "batch/item_route.hpp"
 #include "batch/preemption.hpp"
+#include "batch/run_time_estimate.hpp"
+#include "batch/start_turn.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,6 +12,7 @@
 using namespace tanagertrack;
 using outcome = targets::attempt_end::outcome;
 using batch::failure_kind;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -94,6 +97,38 @@
     }
 }
 
+// Guards against free places that stay empty because they are left to an entry
+// which can't use them.
+BOOST_AUTO_TEST_CASE(turn_moves_on_while_places_stay_free)
+{
+    const auto start = common::time_point(1h);
+    const auto patience = batch::start_turn::patience;
+    batch::start_turn it;
+    BOOST_TEST(it.left_to_others(3, 2, start) == 2);
+    BOOST_TEST(it.left_to_others(3, 2, start + patience / 2) == 2);
+    BOOST_TEST(it.left_to_others(3, 2, start + patience) == 1);
+    BOOST_TEST(it.left_to_others(3, 2, start + 5 * patience) == 0);
+
+    // Somebody starts items: the others are given time again.
+    BOOST_TEST(it.left_to_others(2, 2, start + 5 * patience) == 2);
+    BOOST_TEST(it.left_to_others(0, 2, start + 6 * patience) == 2);
+    BOOST_TEST(it.left_to_others(1, 2, start + 9 * patience) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(run_time_is_learnt_from_items_that_were_done)
+{
+    batch::run_time_estimate it;
+    BOOST_TEST((it.time_left(0s) == 0s));
+    it.note_done(4s, 6s);
+    BOOST_TEST((it.time_left(1s) == 3s));
+    BOOST_TEST((it.time_left(9s) == 0s));
+    BOOST_TEST((it.turnaround() == 6s));
+    for (int n = 0; n < 100; ++n)
+        it.note_done(2s, 2s);
+    BOOST_TEST((it.time_left(0s) < 2100ms));
+    BOOST_TEST((it.turnaround() < 2100ms));
+}
+
 // Guards against entries that all take their items back for one online
 // request, or that all leave it to the others.
 BOOST_AUTO_TEST_CASE(entries_share_what_is_taken_back)
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <array>
 
 using namespace tanagertrack;
@@ -90,6 +91,56 @@
     BOOST_TEST(one.items.counts().running == 8);
 }
 
+// Guards against an item with time left that takes the place which a more
+// urgent item of another entry needs.
+BOOST_AUTO_TEST_CASE(places_are_left_to_more_urgent_items_of_others)
+{
+    one.waiting_elsewhere = 1000;
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    run_for(context, 50ms);
+    BOOST_TEST(server.requests.empty());
+    BOOST_TEST(one.items.counts().pending == 1);
+    one.waiting_elsewhere = 0;
+    BOOST_TEST(one.until([&] { return one.finished("j"); }));
+}
+
+// Guards against overload that makes everything late because what is late
+// already comes first.
+BOOST_AUTO_TEST_CASE(item_that_can_be_in_time_goes_before_a_late_one)
+{
+    one.settings.event_patience = 10s;
+    one.set.remove("t1");
+    one.add_target("t1", server, 1);
+    server.make_answer = [](const std::string& it)
+    {
+        return open_events(it, 1);
+    };
+    BOOST_REQUIRE(one.accept("first", {one.make_item("a")}));
+    BOOST_REQUIRE(one.until([&] { return server.requests.size() == 1; }));
+
+    auto late = batch_process::make_terms("late");
+    late.due_after = 1ms;
+    const auto verdict = one.submit(late, {one.make_item("b")});
+    BOOST_REQUIRE(one.until([&] { return verdict->has_value(); }));
+    BOOST_REQUIRE(one.accept("in-time", {one.make_item("c")}));
+    const auto is_found_late = [&]
+    {
+        const auto waiting = one.items.waiting(8);
+        return waiting.size() == 2 && !waiting[0].how.is_late &&
+               waiting[1].how.is_late;
+    };
+    BOOST_REQUIRE(one.until(is_found_late));
+
+    server.make_answer = make_events(3);
+    server.close_all();
+    BOOST_REQUIRE(one.until([&] { return one.finished("late"); }));
+    std::vector<std::string> order;
+    for (const auto& it : server.requests)
+        order.push_back(field_of(it, "Id"));
+    BOOST_TEST((std::ranges::find(order, "c") < std::ranges::find(order, "b")));
+    BOOST_TEST(one.finished("in-time"));
+}
+
 BOOST_AUTO_TEST_CASE(item_that_can_never_be_done_is_given_up_at_once)
 {
     server.make_answer = [](const std::string& it)
