Record while items run what they have reached

Ruled out: slow take-over; all entries send items within 0.1 s of their start.

Change: an item's text and last event, taken at one moment, are appended when it has run for a second since the last record and its text has grown by a quarter; at most every 0.5 s, nothing while the store is away. Progress is appended in pieces: texts of more than one append were dropped at a planned stop. An item whose text does not fit a record is given up; before, the store refused its record for ever, and all later ends of the process waited behind it.

Tests failed first: lost_process_leaves_what_was_reached (nothing recorded), planned_stop_hands_over_more_than_one_append_takes, item_whose_text_does_not_fit_a_record_is_given_up, too_large_record_is_refused_and_holds_nobody_up.

--- a/src/batch/environment.hpp
+++ b/src/batch/environment.hpp
@@ -35,6 +35,21 @@
 /// Order of a setting's value; `urgency` for an unknown one.
 batch_order parse_batch_order(std::string_view name);
 
+/// How often progress is recorded.
+struct progress_settings
+{
+    /// Shortest time between two appends of a process; zero: never.
+    std::chrono::milliseconds interval{500};
+
+    /// Run time of an item that a lost process may cost.
+    std::chrono::milliseconds max_unrecorded_run{1000};
+
+    /// Growth of a text since it was last recorded, in parts of it: each
+    /// record holds the whole text, and all of them together stay below a
+    /// multiple of it.
+    double min_growth = 0.25;
+};
+
 /// Times and bounds of batch work.
 struct batch_settings
 {
@@ -54,6 +69,10 @@
     /// Time between looks for items to start and for silent targets.
     std::chrono::milliseconds tick{50};
 
+    /// Text of an item; one that grows beyond it can't be recorded, and is
+    /// given up.
+    std::size_t max_text_bytes = 255UL * 1024;
+
     /// Ends of items that wait for the store, and their bytes; above, no item
     /// is started.
     std::size_t max_unrecorded = 4096;
@@ -62,6 +81,9 @@
     /// Time for which an end waits for others to share an append.
     std::chrono::milliseconds record_interval{100};
 
+    /// Recording of what running items have reached.
+    progress_settings progress;
+
     /// Time without a route after which a job's items are given up: the
     /// operator removed it.
     std::chrono::milliseconds routeless_time{3000};
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -72,6 +72,11 @@
     /// Time under way in the attempts that have ended.
     common::duration run_time{0};
 
+    /// What of it the last recorded progress covers: run time, and bytes of
+    /// the text.
+    common::duration recorded_run_time{0};
+    std::size_t recorded_bytes = 0;
+
     /// Target that failed last; not chosen again while there are others.
     std::string avoided;
     targets::attempt_ptr attempt;
@@ -110,6 +115,7 @@
     void restart()
     {
         text.clear();
+        recorded_bytes = 0;
         events = 0;
         last_event.reset();
     }
--- /dev/null
+++ b/src/batch/progress_recorder.cpp
@@ -0,0 +1,50 @@
+#include "batch/progress_recorder.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace tanagertrack::batch
+{
+
+progress_recorder::progress_recorder(job_log& jobs, text_store& texts,
+                                     const progress_settings& settings)
+    : jobs_(jobs), texts_(texts), settings_(settings)
+{
+}
+
+bool progress_recorder::is_due(const item_run& it, common::time_point now) const
+{
+    if (!it.last_event || !it.may_be_taken_back())
+        return false;
+    const auto grown = it.text.size() - it.recorded_bytes;
+    return it.run_time_at(now) - it.recorded_run_time >=
+               settings_.max_unrecorded_run &&
+           static_cast<double>(grown) >=
+               settings_.min_growth * static_cast<double>(it.recorded_bytes);
+}
+
+void progress_recorder::look(const std::set<item_run_ptr>& running,
+                             common::time_point now)
+{
+    const bool is_off = settings_.interval.count() == 0;
+    if (is_off || writing_ || now - last_look_ < settings_.interval ||
+        !jobs_.reachable())
+        return;
+    last_look_ = now;
+    std::vector<reached_state> due;
+    for (const auto& it : running)
+    {
+        if (!is_due(*it, now))
+            continue;
+        it->recorded_run_time = it->run_time_at(now);
+        it->recorded_bytes = it->text.size();
+        due.push_back(take_reached_state(*it, now));
+    }
+    if (due.empty())
+        return;
+    writing_ = true;
+    write_progress(jobs_, texts_, std::move(due),
+                   [this](std::error_code) { writing_ = false; });
+}
+
+} // namespace tanagertrack::batch
--- a/src/batch/progress_store.hpp
+++ b/src/batch/progress_store.hpp
@@ -5,16 +5,37 @@
 #include "batch/job_log.hpp"
 #include "batch/text_store.hpp"
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
+#include <string>
+#include <system_error>
 #include <vector>
 
 namespace tanagertrack::batch
 {
 
+/// What an item has reached at one moment; the item may go on meanwhile.
+struct reached_state
+{
+    std::string job;
+    std::uint32_t item = 0;
+    std::uint64_t last_event = 0;
+    std::uint32_t failures = 0;
+    std::chrono::milliseconds run_time{0};
+
+    /// Text of the events up to the last one.
+    proto::ItemText text;
+};
+
+/// State of an item that has got at least one event.
+reached_state take_reached_state(const item_run& it, common::time_point now);
+
 /// Appends how far items have got, with their texts, so that another process
 /// goes on from there. `done` is called when the store has it, or can't.
 void write_progress(job_log& jobs, text_store& texts,
-                    std::vector<item_run_ptr> its, std::function<void()> done);
+                    std::vector<reached_state> its,
+                    std::function<void(std::error_code)> done);
 
 /// Reads what an item has reached, and calls `done`, unless the item is over
 /// then. An item whose text can't be read starts from its beginning.
--- a/src/batch/record_mover.cpp
+++ b/src/batch/record_mover.cpp
@@ -237,7 +237,7 @@
 void record_mover::write_texts(const job_move_ptr& it)
 {
     it->text_bytes = 0;
-    texts_.write(std::move(it->texts),
+    texts_.write(std::move(it->texts), text_use::progress,
                  [this, it](std::error_code ec,
                             const std::vector<state::text_location>& places)
                  {
--- a/src/batch/result_recorder.cpp
+++ b/src/batch/result_recorder.cpp
@@ -67,7 +67,7 @@
         texts.push_back(std::move(it.text));
     }
     texts_.write(
-        std::move(texts),
+        std::move(texts), text_use::result,
         [this, bytes, ends = std::move(ends)](
             std::error_code ec, const std::vector<state::text_location>& places)
         {
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -41,7 +41,8 @@
       intake_(submissions), timer_(shared.context),
       loader_(jobs, [this](const std::string& job, std::uint32_t first,
                            const std::vector<proto::JobItem>& its)
-              { take_items(job, first, its); })
+              { take_items(job, first, its); }),
+      progress_(jobs, texts, shared.settings.progress)
 {
     jobs_.add_listener(make_listener());
 }
@@ -94,7 +95,9 @@
 {
     const auto now = common::clock::now();
     stop_silent(now);
+    stop_oversized();
     find_late(now);
+    progress_.look(running_, now);
     for (auto& [id, run] : runs_)
     {
         if (run.routeless_since &&
@@ -391,9 +394,9 @@
 
 bool runner::is_late(const item_run& item, common::time_point now) const
 {
-    const auto needed = item.first_started
-                            ? run_times_.time_left(item.run_time_at(now))
-                            : run_times_.turnaround();
+    const bool has_begun = item.first_started || item.last_event;
+    const auto needed = has_begun ? run_times_.time_left(item.run_time_at(now))
+                                  : run_times_.turnaround();
     return item.rank.how.due - now < needed;
 }
 
@@ -492,9 +495,10 @@
                           {"events", item->events},
                           {"failures", item->failures},
                           {"again_after_ms", verdict.pause.count()}});
+    if (item->text.size() > shared_.settings.max_text_bytes)
+        return give_up_oversized(item, target);
     if (verdict.end == proto::ITEM_DONE && !item->rank.how.is_late)
-        run_times_.note_done(item->run_time,
-                             common::clock::now() - *item->first_started);
+        note_run_time(*item);
     if (verdict.end)
         end_item(item, *verdict.end, end.status, target);
     else
@@ -535,6 +539,14 @@
     recorder_.add(std::move(end));
 }
 
+void runner::note_run_time(const item_run& item)
+{
+    // Another process may have begun the item: then a part of the run time was
+    // before its first start here.
+    const auto since_start = common::clock::now() - *item.first_started;
+    run_times_.note_done(item.run_time, std::max(item.run_time, since_start));
+}
+
 void runner::requeue(const item_run_ptr& item)
 {
     if (!item->over)
@@ -566,10 +578,7 @@
 
 void runner::stop_attempt(const item_run_ptr& item, std::string_view why)
 {
-    const auto attempt = std::exchange(item->attempt, nullptr);
-    attempt->cancel();
-    running_.erase(item);
-    item->run_time += common::clock::now() - attempt->started_at();
+    const auto attempt = end_attempt(item);
     common::log_info("item_stopped", {{"job", item->job},
                                       {"item", item->data.id()},
                                       {"target", attempt->where()->id()},
@@ -594,13 +603,44 @@
             stop_attempt(it, "silent");
             continue;
         }
-        const auto attempt = std::exchange(it->attempt, nullptr);
-        attempt->cancel();
-        running_.erase(it);
+        end_attempt(it);
         end_item(it, proto::ITEM_UNKNOWN, 0, it->avoided);
     }
 }
 
+void runner::stop_oversized()
+{
+    for (const auto& it : std::vector(running_.begin(), running_.end()))
+    {
+        if (it->text.size() <= shared_.settings.max_text_bytes)
+            continue;
+        const auto attempt = end_attempt(it);
+        give_up_oversized(it, attempt->where()->id());
+    }
+}
+
+void runner::give_up_oversized(const item_run_ptr& item,
+                               const std::string& target)
+{
+    common::log_warning("item_text_too_large",
+                        {{"job", item->job},
+                         {"item", item->data.id()},
+                         {"bytes", item->text.size()},
+                         {"max_bytes", shared_.settings.max_text_bytes}});
+    item->restart();
+    end_item(item, proto::ITEM_DEAD, 0, target);
+    pump_soon();
+}
+
+targets::attempt_ptr runner::end_attempt(const item_run_ptr& item)
+{
+    auto attempt = std::exchange(item->attempt, nullptr);
+    attempt->cancel();
+    running_.erase(item);
+    item->run_time += common::clock::now() - attempt->started_at();
+    return attempt;
+}
+
 // ---- planned stop ----
 
 void runner::hand_over(std::function<void()> done)
@@ -614,13 +654,15 @@
     }
     recorder_.flush();
 
-    std::vector<item_run_ptr> begun;
+    const auto now = common::clock::now();
+    std::vector<reached_state> begun;
     for (const auto& [rank, item] : pending_)
     {
         if (item->last_event)
-            begun.push_back(item);
+            begun.push_back(take_reached_state(*item, now));
     }
-    write_progress(jobs_, texts_, std::move(begun), std::move(done));
+    write_progress(jobs_, texts_, std::move(begun),
+                   [done = std::move(done)](std::error_code) { done(); });
 }
 
 // ---- counts ----
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -6,6 +6,7 @@
 #include "batch/item_run.hpp"
 #include "batch/job_log.hpp"
 #include "batch/part_loader.hpp"
+#include "batch/progress_recorder.hpp"
 #include "batch/result_recorder.hpp"
 #include "batch/run_time_estimate.hpp"
 #include "batch/start_turn.hpp"
@@ -115,9 +116,13 @@
     void take_end(const item_run_ptr& item, const targets::attempt_end& end);
     void end_item(const item_run_ptr& item, proto::ItemState state,
                   unsigned status, const std::string& target);
+    void note_run_time(const item_run& item);
     void requeue(const item_run_ptr& item);
     void stop_attempt(const item_run_ptr& item, std::string_view why);
     void stop_silent(common::time_point now);
+    void stop_oversized();
+    void give_up_oversized(const item_run_ptr& item, const std::string& target);
+    targets::attempt_ptr end_attempt(const item_run_ptr& item);
 
     environment& shared_;
     job_log& jobs_;
@@ -126,6 +131,7 @@
     intake& intake_;
     boost::asio::steady_timer timer_;
     part_loader loader_;
+    progress_recorder progress_;
     std::map<std::string, job_run, std::less<>> runs_;
 
     /// Items that wait for a place, and those that are under way.
--- a/src/batch/text_store.cpp
+++ b/src/batch/text_store.cpp
@@ -32,24 +32,28 @@
 {
 }
 
-void text_store::write(std::vector<proto::ItemText> texts, write_handler done)
+void text_store::write(std::vector<proto::ItemText> texts, text_use use,
+                       write_handler done)
 {
     std::vector<std::string> records;
     records.reserve(texts.size());
     for (const auto& it : texts)
         records.push_back(it.SerializeAsString());
+    const auto n = texts.size();
+    std::vector<proto::ItemText> kept;
+    if (use == text_use::result)
+        kept.swap(texts);
     writer_->append(std::move(records), true,
-                    [this, texts = std::move(texts), done = std::move(done)](
+                    [this, n, kept = std::move(kept), done = std::move(done)](
                         std::error_code ec, std::uint64_t offset)
                     {
                         std::vector<state::text_location> places;
-                        for (const auto& it : texts)
+                        for (std::size_t i = 0; !ec && i < n; ++i)
+                            places.push_back({own_partition_, offset + i});
+                        if (!ec)
                         {
-                            if (ec)
-                                break;
-                            places.push_back({own_partition_, offset});
-                            remember({own_partition_, offset}, it);
-                            ++offset;
+                            for (const auto& it : kept)
+                                remember({own_partition_, offset++}, it);
                         }
                         done(ec, std::move(places));
                     });
--- a/src/batch/text_store.hpp
+++ b/src/batch/text_store.hpp
@@ -19,6 +19,16 @@
 namespace tanagertrack::batch
 {
 
+/// Who is going to read a text.
+enum class text_use : std::uint8_t
+{
+    /// Callers, soon: kept in memory as well.
+    result,
+
+    /// A process that takes the item over, if at all.
+    progress
+};
+
 /// Settings of the store of texts.
 struct text_store_settings
 {
@@ -52,7 +62,8 @@
 
     /// Appends texts; waits for the store. At most as many as fit into one
     /// append.
-    void write(std::vector<proto::ItemText> texts, write_handler done);
+    void write(std::vector<proto::ItemText> texts, text_use use,
+               write_handler done);
 
     /// Reads one text.
     void read(const state::text_location& place, read_handler done);
--- a/src/common/result_code.hpp
+++ b/src/common/result_code.hpp
@@ -79,6 +79,8 @@
     ROW(producer_sequence, 1309, 503, not_run,                                 \
         "the append does not follow the producer's last one")                  \
     ROW(log_full, 1310, 503, not_run, "the log has no room left")              \
+    ROW(record_too_large, 1311, 413, not_run,                                  \
+        "a record is larger than the platform's log takes")                    \
     ROW(no_target, 1401, 503, not_run,                                         \
         "no live target serves the model or service")                          \
     ROW(target_refused, 1402, 503, not_run, "the target refused the work")     \
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -131,6 +131,9 @@
                  24 * hour_ms, "time without a byte of an item's whole answer");
     table.add_ms("batch.result_flush_interval_ms", it.result_flush_interval, 1,
                  10000, "time that a result waits to be recorded with others");
+    table.add_ms("batch.progress_interval_ms", it.progress_interval, 0, 60000,
+                 "shortest time between records of what running items have "
+                 "reached; 0: none are written");
     table.add_seconds("batch.key_retention_s", it.key_retention, 1, 30 * day_s,
                       "time for which idempotency keys are known");
     table.add_seconds("batch.result_retention_s", it.result_retention, 1,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -87,6 +87,7 @@
     std::uint32_t max_attempts = 4;
     std::chrono::milliseconds attempt_timeout{120000};
     std::chrono::milliseconds result_flush_interval{100};
+    std::chrono::milliseconds progress_interval{500};
     std::chrono::milliseconds key_retention{86400000};
     std::chrono::milliseconds result_retention{86400000};
 };
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -21,6 +21,9 @@
 /// Digits of the random part of a process's name.
 constexpr std::size_t member_digits = 8;
 
+/// Room in a record for what stands beside the text of an item.
+constexpr std::size_t record_frame = 1024;
+
 /// Groups of waiting items that other entries are told of. Those behind them
 /// are less urgent than more items than there are places.
 constexpr std::size_t max_waiting_groups = 8;
@@ -52,6 +55,17 @@
     settings.max_failures = it.batch.max_attempts;
     settings.answer_patience = it.batch.attempt_timeout;
     settings.record_interval = it.batch.result_flush_interval;
+    settings.progress.interval = it.batch.progress_interval;
+    settings.max_text_bytes = it.store.max_record_bytes -
+                              std::min(it.store.max_record_bytes, record_frame);
+    return settings;
+}
+
+store::writer_settings writer_settings(const config::settings& it)
+{
+    store::writer_settings settings;
+    settings.max_record_bytes = it.store.max_record_bytes;
+    settings.max_append_bytes = it.store.max_append_bytes;
     return settings;
 }
 
@@ -61,7 +75,7 @@
     batch::job_log_settings settings;
     settings.member = member;
     settings.reading.min_interval = it.store.jobs_interval;
-    settings.writing.max_append_bytes = it.store.max_append_bytes;
+    settings.writing = writer_settings(it);
     return settings;
 }
 
@@ -71,7 +85,7 @@
     batch::text_store_settings settings;
     settings.member = member;
     settings.partitions = it.store.partitions;
-    settings.writing.max_append_bytes = it.store.max_append_bytes;
+    settings.writing = writer_settings(it);
     return settings;
 }
 
--- a/src/state/job_checkpoint.cpp
+++ b/src/state/job_checkpoint.cpp
@@ -137,6 +137,7 @@
             out.set_text_partition(it.text.partition);
             out.set_text_offset(it.text.offset);
             out.set_failures(it.failures);
+            out.set_run_ms(static_cast<std::uint32_t>(it.run_time.count()));
         }
         for (const auto& [item, member] : from.intents)
         {
@@ -244,7 +245,8 @@
             it.progress[left.item()] = {
                 left.last_event(),
                 {left.text_partition(), left.text_offset()},
-                left.failures()};
+                left.failures(),
+                std::chrono::milliseconds(left.run_ms())};
         for (const auto& intent : from.intents())
             it.intents[intent.item()] = intent.member();
     }
--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -224,7 +224,8 @@
     it->progress[progress.item()] = {
         progress.last_event(),
         {progress.text_partition(), progress.text_offset()},
-        progress.failures()};
+        progress.failures(),
+        std::chrono::milliseconds(progress.run_ms())};
 }
 
 void job_table::apply_item_intent(const proto::ItemIntent& intent)
--- a/src/state/job_table.hpp
+++ b/src/state/job_table.hpp
@@ -25,12 +25,15 @@
     bool operator==(const text_location&) const = default;
 };
 
-/// Progress that a process left when it stopped.
+/// What an item has reached, as a process recorded it.
 struct item_progress
 {
     std::uint64_t last_event = 0;
     text_location text;
     std::uint32_t failures = 0;
+
+    /// Time under way in all attempts.
+    std::chrono::milliseconds run_time{0};
 };
 
 /// One item of an accepted job.
--- a/src/store/partition_writer.cpp
+++ b/src/store/partition_writer.cpp
@@ -39,11 +39,20 @@
 {
     entry it;
     it.ticket = ++last_ticket_;
+    bool fits = true;
     for (const auto& record : records)
+    {
         it.bytes += record.size() + frame_bytes;
+        fits = fits && record.size() <= settings_.max_record_bytes;
+    }
     it.records = std::move(records);
     it.waits_for_store = waits_for_store;
     it.done = std::move(done);
+    if (!fits)
+    {
+        it.done(make_error_code(result_code::record_too_large), 0);
+        return it.ticket;
+    }
     if (it.bytes > settings_.max_append_bytes ||
         queued_bytes_ + it.bytes > settings_.max_queued_bytes)
     {
--- a/src/store/partition_writer.hpp
+++ b/src/store/partition_writer.hpp
@@ -23,6 +23,9 @@
 /// Bounds of a writer.
 struct writer_settings
 {
+    /// Bytes of one record. The store refuses a larger one each time.
+    std::size_t max_record_bytes = 256UL * 1024;
+
     /// Bytes of one append, and of all entries that wait.
     std::size_t max_append_bytes = 2UL * 1024 * 1024;
     std::size_t max_queued_bytes = 32UL * 1024 * 1024;
--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -90,6 +90,8 @@
     {
         settings.tick = std::chrono::milliseconds(5);
         settings.record_interval = std::chrono::milliseconds(1);
+        settings.progress.interval = std::chrono::milliseconds(1);
+        settings.progress.max_unrecorded_run = std::chrono::milliseconds(1);
         settings.routeless_time = std::chrono::milliseconds(50);
         add_route(3);
         jobs.start();
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -44,6 +44,13 @@
         return out;
     }
 
+    /// Whether a process knows progress of an item of the job "j".
+    static bool has_progress(const batch_process& it)
+    {
+        const auto* job = it.job("j");
+        return job != nullptr && !job->progress.empty();
+    }
+
     /// Events up to `last` on an answer that stays open.
     static scripted_answer open_events(const std::string& request,
                                        unsigned last)
@@ -104,6 +111,24 @@
     BOOST_TEST(one.until([&] { return one.finished("j"); }));
 }
 
+// Guards against a record that the store refuses for ever, so that no later
+// end is recorded, and against a text without bound.
+BOOST_AUTO_TEST_CASE(item_whose_text_does_not_fit_a_record_is_given_up)
+{
+    one.settings.max_text_bytes = 10;
+    one.settings.event_patience = 10s;
+    server.make_answer = [](const std::string& it)
+    {
+        return open_events(it, 5);
+    };
+    BOOST_REQUIRE(one.accept("open", {one.make_item("a")}));
+    BOOST_TEST(one.until([&] { return one.finished("open"); }));
+    server.make_answer = make_events(5);
+    BOOST_TEST((run("b").state == proto::ITEM_DEAD));
+    server.make_answer = make_events(3);
+    BOOST_TEST((run("c").state == proto::ITEM_DONE));
+}
+
 // Guards against overload that makes everything late because what is late
 // already comes first.
 BOOST_AUTO_TEST_CASE(item_that_can_be_in_time_goes_before_a_late_one)
@@ -407,6 +432,83 @@
     BOOST_TEST(read(two, "j").front().text.text() == "e1\ne2\ne3");
 }
 
+// Guards against items that start over when their process is lost without
+// warning, as all of them are when all hosts lose power.
+BOOST_AUTO_TEST_CASE(lost_process_leaves_what_was_reached)
+{
+    server.make_answer = [](const std::string& it)
+    {
+        return open_events(it, 2);
+    };
+    one.settings.event_patience = 10s;
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    BOOST_REQUIRE(two.until([&] { return has_progress(two); }));
+    server.make_answer = make_events(3);
+    take("j", "m1", "m2");
+    BOOST_TEST(two.until([&] { return two.finished("j"); }));
+    BOOST_TEST(field_of(server.requests.back(), "After") == "2");
+    BOOST_TEST(read(two, "j").front().text.text() == "e1\ne2\ne3");
+}
+
+// Guards against progress whose text and last event are from different moments:
+// events go on to come while the store takes the text.
+BOOST_AUTO_TEST_CASE(recorded_progress_is_from_one_moment)
+{
+    server.make_answer = [](const std::string& it)
+    {
+        return open_events(it, 1);
+    };
+    one.settings.event_patience = 10s;
+    BOOST_TEST(one.accept("j", {one.make_item("a")}));
+    BOOST_REQUIRE(one.until([&] { return server.requests.size() == 1; }));
+    for (unsigned n = 2; n < 40; ++n)
+    {
+        server.send_all(chunk(event(n, "e" + std::to_string(n))));
+        run_for(context, 1ms);
+    }
+    BOOST_REQUIRE(two.until([&] { return has_progress(two); }));
+    server.make_answer = make_events(50);
+    take("j", "m1", "m2");
+    BOOST_REQUIRE(two.until([&] { return two.finished("j"); }));
+    std::string whole = "e1";
+    for (unsigned n = 2; n <= 50; ++n)
+        whole += "\ne" + std::to_string(n);
+    BOOST_TEST(read(two, "j").front().text.text() == whole);
+}
+
+// Guards against a planned stop that loses everything because the texts are
+// too large for one append.
+BOOST_AUTO_TEST_CASE(planned_stop_hands_over_more_than_one_append_takes)
+{
+    constexpr int n_items = 12;
+    const std::string text(200UL * 1024, 'x');
+    one.add_target("t2", server);
+    one.settings.progress.interval = 0ms;
+    one.settings.event_patience = 10s;
+    server.make_answer = [&text](const std::string& it)
+    {
+        return scripted_answer{
+            chunked_head(200, answers_to(field_of(it, "Id"))) +
+            chunk(event(1, text))};
+    };
+    std::vector<proto::JobItem> its;
+    for (int n = 0; n < n_items; ++n)
+        its.push_back(one.make_item("i" + std::to_string(n)));
+    BOOST_REQUIRE(one.accept("j", its));
+    BOOST_REQUIRE(one.until(
+        [&]
+        {
+            run_for(context, 5ms);
+            return server.requests.size() == n_items;
+        }));
+    run_for(context, 50ms);
+    bool done = false;
+    one.items.hand_over([&done] { done = true; });
+    BOOST_REQUIRE(one.until([&] { return done; }));
+    BOOST_REQUIRE(two.until([&] { return has_progress(two); }));
+    BOOST_TEST(one.job("j")->progress.size() == n_items);
+}
+
 // Guards against a second run of an item that may run once, after the process
 // that may have run it is gone.
 BOOST_AUTO_TEST_CASE(item_that_may_run_once_is_not_run_by_its_next_owner)
--- a/test/store/test_partition_writer.cpp
+++ b/test/store/test_partition_writer.cpp
@@ -32,6 +32,7 @@
             return fate;
         };
         store::writer_settings settings;
+        settings.max_record_bytes = 3000;
         settings.max_append_bytes = 1000;
         settings.max_queued_bytes = 5000;
         settings.retry = {1ms, 2ms};
@@ -83,6 +84,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(partition_writer, fixture)
 
+// Guards against a record that the store refuses again and again, while all
+// later ones wait behind it.
+BOOST_AUTO_TEST_CASE(too_large_record_is_refused_and_holds_nobody_up)
+{
+    const std::string large(3001, 'x');
+    append(large);
+    BOOST_TEST((results.at(large) == result_code::record_too_large));
+    append("a");
+    BOOST_TEST(run_until(context, [&] { return results.contains("a"); }));
+    BOOST_TEST(!results.at("a"));
+}
+
 BOOST_AUTO_TEST_CASE(entries_share_a_call_and_keep_their_order)
 {
     for (const auto* it : {"a", "b", "c"})
