Emulate batching, prompts, due times and troubles, from YAML loads

The emulation knew places and their times only: items had no due time and no end, and what was taken back was lost. Now targets make tokens in common steps, read prompts (also what a resumed run made before), and have noisy neighbours; jobs have due times and come to entries unevenly; targets and entries go down. Loads are YAML files with checked keys; results come as table, JSON and SVG. The decisions are the entries' own modules.

--- /dev/null
+++ b/bench/engine_model.cpp
@@ -0,0 +1,100 @@
+#include "bench/engine_model.hpp"
+
+#include "common/hash.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace tanagertrack::bench
+{
+
+using std::chrono::milliseconds;
+
+engine_model::engine_model(const fleet_settings& settings, std::uint64_t seed,
+                           std::size_t number)
+    : settings_(settings),
+      noise_seed_(common::hash64("target " + std::to_string(number), seed))
+{
+}
+
+void engine_model::enter(const engine_work_ptr& work)
+{
+    waiting_.push_back(work);
+    fill();
+}
+
+void engine_model::remove(const engine_work_ptr& work)
+{
+    std::erase(waiting_, work);
+    std::erase(running_, work);
+    fill();
+}
+
+std::vector<engine_work_ptr> engine_model::clear()
+{
+    auto all = std::exchange(running_, {});
+    all.insert(all.end(), waiting_.begin(), waiting_.end());
+    waiting_.clear();
+    return all;
+}
+
+void engine_model::fill()
+{
+    while (running_.size() < settings_.slots && !waiting_.empty())
+    {
+        running_.push_back(waiting_.front());
+        waiting_.pop_front();
+        if (started_)
+            started_(*running_.back());
+    }
+}
+
+bool engine_model::is_slowed(milliseconds now) const
+{
+    constexpr std::uint64_t resolution = 1000000;
+    const auto period = now / settings_.noise_time;
+    const auto drawn =
+        common::hash64(std::to_string(period), noise_seed_) % resolution;
+    return static_cast<double>(drawn) <
+           settings_.noise_share * static_cast<double>(resolution);
+}
+
+double engine_model::read_prompts(double budget_ms)
+{
+    for (const auto& it : running_)
+    {
+        const double taken = std::min(
+            budget_ms, it->prompt_tokens / settings_.prompt_tokens_per_ms);
+        it->prompt_tokens -= taken * settings_.prompt_tokens_per_ms;
+        budget_ms -= taken;
+    }
+    return budget_ms;
+}
+
+void engine_model::step(
+    milliseconds now, const std::function<void(const engine_work_ptr&)>& ended)
+{
+    double budget_ms = is_slowed(now) ? 1 / settings_.noise_slowdown : 1;
+    budget_ms = read_prompts(budget_ms);
+    const double step_ms =
+        settings_.step_ms +
+        settings_.step_ms_per_request * static_cast<double>(running_.size());
+    const double events = budget_ms / step_ms / settings_.tokens_per_event;
+    std::vector<engine_work_ptr> done;
+    for (const auto& it : running_)
+    {
+        it->events_made += std::min(events, it->events_left);
+        it->events_left -= events;
+        if (it->events_left <= 0)
+            done.push_back(it);
+    }
+    for (const auto& it : done)
+    {
+        std::erase(running_, it);
+        ended(it);
+    }
+    fill();
+}
+
+} // namespace tanagertrack::bench
--- a/bench/fleet_emulator.cpp
+++ b/bench/fleet_emulator.cpp
@@ -1,374 +1,559 @@
 #include "bench/fleet_emulator.hpp"
 
-#include "batch/preemption.hpp"
-#include "peers/peer_loads.hpp"
+#include "bench/entry_model.hpp"
 
 #include <algorithm>
 #include <deque>
 #include <random>
 #include <string>
+#include <utility>
 
 namespace tanagertrack::bench
 {
 
-namespace
-{
-
 using std::chrono::milliseconds;
 
-constexpr std::string_view service = "s";
-
-/// A request or an item on a target.
-struct job
+namespace
 {
-    std::size_t entry = 0;
-    bool is_batch = false;
 
-    /// Work left, in milliseconds on an empty target.
-    double left_ms = 0;
-    milliseconds arrived{0};
-};
+/// Times of the entries' periodic looks.
+constexpr auto late_interval = milliseconds(50);
+constexpr auto progress_interval = milliseconds(500);
+constexpr auto sample_interval = milliseconds(100);
 
-/// A target that runs requests in the order of their arrival.
-struct target
-{
-    std::vector<job> running;
-    std::deque<job> waiting;
-};
+/// Targets that an online request tries.
+constexpr int max_sends = 3;
+
+constexpr double ms_per_second = 1000;
 
-/// Requests of one entry on one target.
-struct use
+/// An online request that has no event yet, or is not done.
+struct open_request
 {
-    std::uint32_t online = 0;
-    std::uint32_t batch = 0;
+    engine_work_ptr work;
+    bool has_event = false;
 };
 
 /// A message on its way.
 struct message_on_way
 {
     milliseconds arrives{0};
+    std::size_t from = 0;
     peers::LoadMessage content;
 };
 
-struct entry
+double percentile(std::vector<double>& values, double share)
 {
-    std::string name;
-    std::vector<routing::target_load> loads;
-    std::vector<use> own;
-    peers::peer_loads peers;
-    std::deque<message_on_way> sent;
-    std::uint64_t sequence = 0;
-};
+    if (values.empty())
+        return 0;
+    std::ranges::sort(values);
+    const auto last = static_cast<double>(values.size() - 1);
+    return values[static_cast<std::size_t>(last * share)];
+}
 
 class emulator
 {
 public:
-    explicit emulator(const emulator_settings& settings)
-        : settings_(settings), random_(settings.seed),
-          place_(make_placement_settings(settings),
-                 [this](std::size_t n) { return below(n); }),
-          targets_(settings.targets), entries_(settings.entries)
+    explicit emulator(const emulation_settings& settings)
+        : settings_(settings), load_random_(settings.seed),
+          choice_random_(settings.seed + 1), place_(make_placement())
     {
-        for (auto& it : entries_)
+        for (std::size_t i = 0; i < settings.fleet.targets; ++i)
         {
-            it.name = "entry-" + std::to_string(&it - entries_.data());
-            it.loads.resize(settings.targets);
-            for (auto& load : it.loads)
-            {
-                load.key = static_cast<std::uint32_t>(&load - it.loads.data());
-                load.slots = settings.slots;
-            }
-            it.own.resize(settings.targets);
+            targets_.emplace_back(settings_.fleet, settings.seed, i);
+            targets_.back().on_start([this](const engine_work& it)
+                                     { note_run(it); });
         }
+        for (std::size_t i = 0; i < settings.fleet.entries; ++i)
+            entries_.emplace_back(settings_, "entry-" + std::to_string(i),
+                                  place_);
+        target_is_up_.assign(targets_.size(), true);
+        entry_is_up_.assign(entries_.size(), true);
     }
 
-    emulator_result run()
+    emulation_result run()
     {
         for (; now_ < settings_.length; ++now_)
         {
+            begin_and_end_troubles();
             exchange();
             work();
+            note_first_events();
             add_online();
+            add_jobs();
             yield();
-            add_batch();
+            look();
+            start_items();
+            sample();
         }
         return finish();
     }
 
 private:
-    static routing::placement_settings
-    make_placement_settings(const emulator_settings& settings)
+    routing::placement make_placement()
     {
         routing::placement_settings out;
-        out.policy = settings.policy;
-        return out;
+        out.policy =
+            routing::parse_placement_policy(settings_.policy.placement);
+        return {out, [this](std::size_t n)
+                {
+                    return std::uniform_int_distribution<std::size_t>(0, n - 1)(
+                        choice_random_);
+                }};
     }
 
-    std::size_t below(std::size_t n)
+    /// Past the first moment of the clock, so that nothing seems avoided.
+    common::time_point time() const
     {
-        return std::uniform_int_distribution<std::size_t>(0, n - 1)(random_);
+        return common::time_point(std::chrono::hours(1)) + now_;
     }
 
-    common::time_point time() const
+    bool is_time_for(milliseconds interval) const
     {
-        // Past the first moment of the clock, so that nothing seems avoided.
-        return common::time_point(std::chrono::hours(1)) + now_;
+        return now_ % interval == milliseconds(0);
+    }
+
+    // ---- troubles ----
+
+    void begin_and_end_troubles()
+    {
+        for (const auto& it : settings_.troubles)
+        {
+            if (now_ == it.at)
+                set_up(it, false);
+            if (now_ == it.at + it.length)
+                set_up(it, true);
+        }
+    }
+
+    void set_up(const trouble& it, bool is_up)
+    {
+        const bool are_targets = it.what == trouble::kind::targets_down;
+        auto& all = are_targets ? target_is_up_ : entry_is_up_;
+        for (std::size_t i = 0; i < std::min(it.count, all.size()); ++i)
+        {
+            all[i] = is_up;
+            if (is_up)
+                continue;
+            if (are_targets)
+                lose_target(i);
+            else
+                lose_entry(i);
+        }
+    }
+
+    void lose_target(std::size_t target)
+    {
+        for (const auto& it : targets_[target].clear())
+        {
+            if (it->is_batch)
+                stop_item(it);
+            else
+                fail_online(it);
+        }
     }
 
-    /// Sends and delivers the entries' messages.
+    void lose_entry(std::size_t entry)
+    {
+        for (const auto& it : std::deque(open_))
+        {
+            if (it.work->entry != entry)
+                continue;
+            targets_[it.work->target].remove(it.work);
+            fail_online(it.work);
+        }
+        for (const auto& it : entries_[entry].running())
+        {
+            targets_[it->work->target].remove(it->work);
+            items_.erase(it->work);
+        }
+        result_.batch.lost_events += entries_[entry].lose_state();
+    }
+
+    void fail_online(const engine_work_ptr& it)
+    {
+        ++result_.online.failed;
+        end_online(it);
+    }
+
+    // ---- messages ----
+
     void exchange()
     {
         for (std::size_t i = 0; i < entries_.size(); ++i)
         {
-            auto& it = entries_[i];
-
             // Entries don't send at the same time.
             const auto phase = milliseconds(i);
-            if ((now_ + phase) % settings_.message_interval == milliseconds(0))
-                it.sent.push_back(
-                    {now_ + settings_.message_delay, make_message(it)});
-            while (!it.sent.empty() && it.sent.front().arrives <= now_)
-            {
-                deliver(it, it.sent.front().content);
-                it.sent.pop_front();
-            }
+            if (entry_is_up_[i] &&
+                (now_ + phase) % settings_.fleet.message_interval ==
+                    milliseconds(0))
+                sent_.push_back({now_ + settings_.fleet.message_delay, i,
+                                 entries_[i].make_message(time())});
+        }
+        while (!sent_.empty() && sent_.front().arrives <= now_)
+        {
+            deliver(sent_.front());
+            sent_.pop_front();
         }
-        for (auto& it : entries_)
-            update_loads(it);
     }
 
-    peers::LoadMessage make_message(entry& from)
+    void deliver(const message_on_way& it)
     {
-        peers::LoadMessage out;
-        out.set_member(from.name);
-        out.set_sequence(++from.sequence);
+        for (std::size_t i = 0; i < entries_.size(); ++i)
+        {
+            if (i == it.from || !entry_is_up_[i])
+                continue;
+            entries_[i].take_message(it.content, time());
+            is_changed_.insert(i);
+        }
+    }
+
+    // ---- targets ----
 
-        // There are always more items than places.
-        auto& waiting = *out.add_waiting();
-        waiting.set_service(peers::service_key(service));
-        waiting.set_count(1);
+    void work()
+    {
         for (std::size_t t = 0; t < targets_.size(); ++t)
         {
-            const auto& own = from.own[t];
-            if (own.online + own.batch == 0)
+            if (!target_is_up_[t])
                 continue;
-            auto& it = *out.add_uses();
-            it.set_target(static_cast<std::uint32_t>(t));
-            it.set_online(own.online);
-            it.set_batch(own.batch);
+            used_ += targets_[t].running();
+            targets_[t].step(now_,
+                             [this](const engine_work_ptr& it) { end(it); });
         }
-        return out;
     }
 
-    void deliver(const entry& from, const peers::LoadMessage& content)
+    void end(const engine_work_ptr& it)
     {
-        for (auto& it : entries_)
+        if (!it->is_batch)
         {
-            if (&it != &from)
-                it.peers.take(content, time());
+            note_first_event(it);
+            return end_online(it);
         }
+        const auto item = items_.at(it);
+        items_.erase(it);
+        entries_[it->entry].note_done(item, time());
+        is_changed_.insert(it->entry);
+        ++result_.batch.done;
+        if (time() <= item->rank.how.due && is_counted(item->rank.how.due))
+            ++result_.batch.in_time;
     }
 
-    void update_loads(entry& to)
+    void note_run(const engine_work& it)
     {
-        for (std::size_t t = 0; t < targets_.size(); ++t)
+        if (!it.is_batch)
+            waits_.push_back(static_cast<double>((now_ - it.arrived).count()));
+    }
+
+    // ---- online requests ----
+
+    void add_online()
+    {
+        const auto& load = settings_.online;
+        const auto cycle = load.low_time + load.high_time;
+        const double share =
+            now_ % cycle < load.low_time ? load.low : load.high;
+        const double mean = load.per_second * share / ms_per_second;
+        if (mean <= 0)
+            return;
+        std::poisson_distribution<unsigned> arrivals(mean);
+        for (auto n = arrivals(load_random_); n != 0; --n)
         {
-            auto& load = to.loads[t];
-            const auto others = to.peers.use_of(static_cast<std::uint32_t>(t));
-            load.own_online = to.own[t].online;
-            load.own_batch = to.own[t].batch;
-            load.peer_online = others.online;
-            load.peer_batch = others.batch;
+            std::exponential_distribution<double> events(1 / load.events);
+            const double length = 1 + events(load_random_);
+            take_online(choose_entry(), length);
         }
     }
 
-    /// Lets a millisecond pass on all targets.
-    void work()
+    /// The balancer's choice among the entries that are up.
+    std::optional<std::size_t> choose_entry()
     {
-        for (std::size_t t = 0; t < targets_.size(); ++t)
+        std::vector<std::size_t> up;
+        const auto drawn = load_random_();
+        for (std::size_t i = 0; i < entries_.size(); ++i)
         {
-            auto& it = targets_[t];
-            used_ += it.running.size();
-            const double speed =
-                1 / (1 + settings_.crowding *
-                             static_cast<double>(it.running.size()));
-            for (auto& running : it.running)
-                running.left_ms -= speed;
-            std::erase_if(it.running,
-                          [&](const job& one)
-                          {
-                              if (one.left_ms > 0)
-                                  return false;
-                              leave(t, one);
-                              result_.items += one.is_batch ? 1 : 0;
-                              return true;
-                          });
-            fill(t);
+            if (entry_is_up_[i])
+                up.push_back(i);
         }
+        if (up.empty())
+            return std::nullopt;
+        return up[drawn % up.size()];
     }
 
-    /// Starts what waits on a target.
-    void fill(std::size_t t)
+    void take_online(std::optional<std::size_t> where, double events)
     {
-        auto& it = targets_[t];
-        while (it.running.size() < settings_.slots && !it.waiting.empty())
+        ++result_.online.requests;
+        if (!where)
         {
-            const auto& next = it.waiting.front();
-            if (!next.is_batch)
-                waits_.push_back(
-                    static_cast<double>((now_ - next.arrived).count()));
-            it.running.push_back(next);
-            it.waiting.pop_front();
+            ++result_.online.failed;
+            return;
         }
+        auto& entry = entries_[*where];
+        for (int n = 0; n < max_sends; ++n)
+        {
+            const auto target = entry.choose_online(time());
+            if (!target)
+            {
+                ++result_.online.refused;
+                return;
+            }
+            if (target_is_up_[*target])
+                return send_online(*where, *target, events);
+            entry.note_unreachable(*target, time());
+        }
+        ++result_.online.failed;
     }
 
-    void enter(std::size_t t, const job& one)
+    void send_online(std::size_t entry, std::size_t target, double events)
     {
-        auto& own = entries_[one.entry].own[t];
-        ++(one.is_batch ? own.batch : own.online);
-        targets_[t].waiting.push_back(one);
-        fill(t);
-        auto& load = entries_[one.entry].loads[t];
-        load.own_online = own.online;
-        load.own_batch = own.batch;
+        if (targets_[target].running() >= settings_.fleet.slots &&
+            !preempt(entry, target))
+            ++result_.online.queued;
+        const auto work = make_work(entry, target, false);
+        work->prompt_tokens = settings_.online.prompt_tokens;
+        work->events_left = events;
+        open_.push_back({work});
+        entries_[entry].add_use(target, false);
+        targets_[target].enter(work);
     }
 
-    void leave(std::size_t t, const job& one)
+    engine_work_ptr make_work(std::size_t entry, std::size_t target,
+                              bool is_batch) const
     {
-        auto& own = entries_[one.entry].own[t];
-        --(one.is_batch ? own.batch : own.online);
+        engine_work_ptr work(new engine_work);
+        work->entry = entry;
+        work->target = target;
+        work->is_batch = is_batch;
+        work->arrived = now_;
+        return work;
     }
 
-    std::vector<const routing::target_load*> loads_of(const entry& it) const
+    void note_first_events()
     {
-        std::vector<const routing::target_load*> out;
-        for (const auto& load : it.loads)
-            out.push_back(&load);
-        return out;
+        for (auto& it : open_)
+        {
+            if (it.has_event || it.work->events_made <= 0)
+                continue;
+            it.has_event = true;
+            add_first_event(*it.work);
+        }
     }
 
-    void add_online()
+    /// The last event may be the first one.
+    void note_first_event(const engine_work_ptr& work)
     {
-        const auto cycle = settings_.low_time + settings_.high_time;
-        const double share =
-            now_ % cycle < settings_.low_time ? settings_.low : settings_.high;
-        constexpr double ms_per_second = 1000;
-        std::poisson_distribution<unsigned> arrivals(
-            settings_.online_per_second * share / ms_per_second);
-        for (auto n = arrivals(random_); n != 0; --n)
+        const auto it = std::ranges::find(open_, work, &open_request::work);
+        if (!it->has_event)
+            add_first_event(*work);
+    }
+
+    void add_first_event(const engine_work& work)
+    {
+        const auto taken = now_ - work.arrived;
+        first_events_.push_back(static_cast<double>(taken.count()));
+        if (taken <= settings_.online.objective)
+            ++result_.online.in_time;
+    }
+
+    void end_online(const engine_work_ptr& work)
+    {
+        entries_[work->entry].end_use(work->target, false);
+        is_changed_.insert(work->entry);
+        std::erase_if(open_,
+                      [&](const open_request& it) { return it.work == work; });
+    }
+
+    // ---- batch items ----
+
+    void add_jobs()
+    {
+        const auto& load = settings_.batch;
+        if (load.jobs_per_second <= 0)
+            return;
+        std::poisson_distribution<unsigned> arrivals(load.jobs_per_second /
+                                                     ms_per_second);
+        for (auto n = arrivals(load_random_); n != 0; --n)
+            add_job();
+    }
+
+    void add_job()
+    {
+        const auto& load = settings_.batch;
+        const auto due = time() + load.due_after;
+        const auto entry = choose_entry();
+        std::normal_distribution<double> events(load.events,
+                                                load.events * load.spread);
+        ++jobs_;
+        for (std::uint32_t i = 0; i < load.items; ++i)
         {
-            const auto e = below(entries_.size());
-            const auto choice =
-                place_.choose_online(loads_of(entries_[e]), time());
-            const auto t = choice->index;
-            ++result_.online;
-            if (targets_[t].running.size() >= settings_.slots &&
-                !take_back(t, e))
-                ++result_.queued;
-            std::exponential_distribution<double> length(
-                1.0 / static_cast<double>(settings_.online_time.count()));
-            enter(t, {e, false, length(random_), now_});
+            const double length = std::max(1.0, events(load_random_));
+            if (is_counted(due))
+                ++result_.batch.due;
+            if (!entry)
+                continue;
+            model_item_ptr item(new model_item);
+            item->number = ++n_items_;
+            item->rank = {{false, due}, jobs_, i};
+            item->events = length;
+            entries_[*entry].add_item(item);
+            is_changed_.insert(*entry);
         }
     }
 
-    /// Takes an item of an entry back from a target.
-    bool take_back(std::size_t t, std::size_t e)
+    /// Whether the outcome of an item is known at the end.
+    bool is_counted(common::time_point due) const
+    {
+        return due - time() <= settings_.length - now_;
+    }
+
+    void look()
+    {
+        for (std::size_t i = 0; i < entries_.size(); ++i)
+        {
+            if (!entry_is_up_[i])
+                continue;
+            auto& it = entries_[i];
+            if (is_time_for(late_interval))
+            {
+                it.expire_peers(time());
+                it.find_late(time());
+                is_changed_.insert(i);
+            }
+            if (is_time_for(progress_interval))
+                it.record_progress(time());
+        }
+    }
+
+    /// Each entry whose knowledge has changed looks for places.
+    void start_items()
     {
-        const auto drop = [&](auto& list)
+        for (const auto e : std::exchange(is_changed_, {}))
         {
-            const auto found =
-                std::ranges::find_if(list, [e](const job& it)
-                                     { return it.is_batch && it.entry == e; });
-            if (found == list.end())
-                return false;
-            leave(t, *found);
-            list.erase(found);
-            return true;
-        };
-        if (!drop(targets_[t].waiting) && !drop(targets_[t].running))
+            while (entry_is_up_[e])
+            {
+                const auto next = entries_[e].next_start(time());
+                if (!next)
+                    break;
+                if (target_is_up_[next->target])
+                    send_item(e, *next);
+                else
+                    entries_[e].note_unreachable(next->target, time());
+            }
+        }
+    }
+
+    void send_item(std::size_t entry, const entry_model::start& it)
+    {
+        const auto work = make_work(entry, it.target, true);
+
+        // A run that goes on reads what was made before as well.
+        work->prompt_tokens =
+            settings_.batch.prompt_tokens +
+            it.item->events_made * settings_.fleet.tokens_per_event;
+        work->events_left = it.item->events - it.item->events_made;
+        items_[work] = it.item;
+        entries_[entry].note_started(it.item, work, time());
+        targets_[it.target].enter(work);
+    }
+
+    /// Takes an item of an entry back from a target.
+    bool preempt(std::size_t entry, std::size_t target)
+    {
+        const auto item = entries_[entry].choose_preempted(target);
+        if (!item)
             return false;
-        ++result_.preempted;
+        targets_[target].remove(item->work);
+        stop_item(item->work);
+        ++result_.batch.preempted;
         return true;
     }
 
+    /// By value: the item gives its reference up.
+    void stop_item(engine_work_ptr work)
+    {
+        const auto item = items_.at(work);
+        items_.erase(work);
+        entries_[work->entry].note_stopped(item, time());
+        is_changed_.insert(work->entry);
+    }
+
     /// Entries take items back from targets that are too full, in one order.
     void yield()
     {
-        for (std::size_t t = 0; t < targets_.size(); ++t)
+        for (std::size_t e = 0; e < entries_.size(); ++e)
         {
-            for (std::size_t e = 0; e < entries_.size(); ++e)
+            for (std::size_t t = 0; t < targets_.size(); ++t)
             {
-                const auto& it = entries_[e];
-                const auto others = it.peers.batch_before(
-                    static_cast<std::uint32_t>(t), it.name);
-                auto n = batch::items_to_take_back(it.loads[t], others);
-                for (; n != 0; --n)
-                    take_back(t, e);
+                for (auto n = entries_[e].items_to_take_back(t); n != 0; --n)
+                    preempt(e, t);
             }
-            fill(t);
         }
     }
 
-    /// Each entry puts items on the places that nobody needs and that other
-    /// entries don't take before it.
-    void add_batch()
+    // ---- result ----
+
+    void sample()
     {
-        if (!settings_.has_batch ||
-            now_ % settings_.batch_look != milliseconds(0))
+        if (!is_time_for(sample_interval))
             return;
-        for (std::size_t e = 0; e < entries_.size(); ++e)
+        fleet_sample it;
+        it.at = now_;
+        for (const auto& entry : entries_)
         {
-            auto& it = entries_[e];
-            while (true)
-            {
-                std::vector<const routing::target_load*> usable;
-                for (const auto& load : it.loads)
-                    usable.push_back(&load);
-                const auto turn = it.peers.entries_before(service, it.name);
-                const auto choice = place_.choose_batch(
-                    usable, settings_.reserve, turn, time());
-                if (!choice)
-                    break;
-                std::exponential_distribution<double> length(
-                    1.0 / static_cast<double>(settings_.batch_time.count()));
-                const auto t = static_cast<std::size_t>(usable[choice->index] -
-                                                        it.loads.data());
-                enter(t, {e, true, length(random_), now_});
-            }
+            it.batch_running += entry.running().size();
+            it.batch_waiting += entry.pending();
         }
+        std::size_t running = 0;
+        for (const auto& target : targets_)
+            running += target.running();
+        it.online_running = std::min(running, open_.size());
+        it.online_waiting = open_.size() - it.online_running;
+        result_.samples.push_back(it);
     }
 
-    emulator_result finish()
+    emulation_result finish()
     {
-        std::ranges::sort(waits_);
+        constexpr double half = 0.5;
         constexpr double high = 0.99;
-        if (!waits_.empty())
-        {
-            const auto last = static_cast<double>(waits_.size() - 1);
-            result_.wait_p50_ms = waits_[static_cast<std::size_t>(last / 2)];
-            result_.wait_p99_ms = waits_[static_cast<std::size_t>(last * high)];
-        }
-        const auto places = static_cast<double>(settings_.slots) *
+        auto& online = result_.online;
+        online.wait_p50_ms = percentile(waits_, half);
+        online.wait_p99_ms = percentile(waits_, high);
+        online.first_event_p50_ms = percentile(first_events_, half);
+        online.first_event_p99_ms = percentile(first_events_, high);
+        const auto places = static_cast<double>(settings_.fleet.slots) *
                             static_cast<double>(targets_.size()) *
                             static_cast<double>(settings_.length.count());
         result_.use = static_cast<double>(used_) / places;
-        return result_;
+        return std::move(result_);
     }
 
-    emulator_settings settings_;
-    std::mt19937_64 random_;
+    emulation_settings settings_;
+
+    /// The load is drawn apart from the choices, so that policies meet the
+    /// same one.
+    std::mt19937_64 load_random_;
+    std::mt19937_64 choice_random_;
     routing::placement place_;
-    std::vector<target> targets_;
-    std::vector<entry> entries_;
-    std::vector<double> waits_;
-    emulator_result result_;
+    std::deque<engine_model> targets_;
+    std::deque<entry_model> entries_;
+    std::vector<bool> target_is_up_;
+    std::vector<bool> entry_is_up_;
+
+    /// Entries that learnt something since they last looked for places.
+    std::set<std::size_t> is_changed_;
+    std::deque<message_on_way> sent_;
+    std::deque<open_request> open_;
+    std::map<engine_work_ptr, model_item_ptr> items_;
+    std::uint64_t jobs_ = 0;
+    std::uint64_t n_items_ = 0;
     std::uint64_t used_ = 0;
+    std::vector<double> waits_;
+    std::vector<double> first_events_;
+    emulation_result result_;
     milliseconds now_{0};
 };
 
 } // namespace
 
-emulator_result emulate(const emulator_settings& settings)
+emulation_result emulate(const emulation_settings& settings)
 {
     return emulator(settings).run();
 }
--- a/bench/fleet_emulator.hpp
+++ b/bench/fleet_emulator.hpp
@@ -1,83 +1,86 @@
 #ifndef TANAGERTRACK_BENCH_FLEET_EMULATOR_HPP
 #define TANAGERTRACK_BENCH_FLEET_EMULATOR_HPP
 
-#include "routing/placement.hpp"
+#include "bench/emulation_settings.hpp"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <vector>
 
 namespace tanagertrack::bench
 {
 
-/// A fleet and its load. The defaults are those of retorno-sul: online traffic
-/// that jumps between 0.378 and 1.85 of its mean every few seconds, and batch
-/// items for all places that are left.
-struct emulator_settings
+/// The fleet at one moment.
+struct fleet_sample
 {
-    routing::placement_policy policy =
-        routing::placement_policy::expected_start;
-
-    /// Whether there are batch items.
-    bool has_batch = true;
-
-    /// Places of each target that batch items leave free.
-    std::uint32_t reserve = 1;
-    std::size_t entries = 10;
-    std::size_t targets = 18;
-    std::uint32_t slots = 8;
-
-    /// Mean of the online requests in a second.
-    double online_per_second = 75;
-
-    /// Traffic in parts of its mean, and how long each lasts.
-    double low = 0.378;
-    double high = 1.85;
-    std::chrono::milliseconds low_time{3000};
-    std::chrono::milliseconds high_time{2200};
-
-    /// Time of a request and of a batch item on an empty target; each further
-    /// running request adds `crowding` of it.
-    std::chrono::milliseconds online_time{700};
-    std::chrono::milliseconds batch_time{4500};
-    double crowding = 0.05;
-
-    /// Time between two load messages of an entry, and on their way.
-    std::chrono::milliseconds message_interval{15};
-    std::chrono::milliseconds message_delay{2};
-
-    /// Time between an entry's looks for places for items.
-    std::chrono::milliseconds batch_look{10};
-    std::chrono::milliseconds length{60000};
-    std::uint64_t seed = 1;
+    std::chrono::milliseconds at{0};
+    std::size_t online_running = 0;
+    std::size_t online_waiting = 0;
+    std::size_t batch_running = 0;
+    std::size_t batch_waiting = 0;
 };
 
-/// What came of the load.
-struct emulator_result
+/// What came of the online requests.
+struct online_result
 {
-    /// Online requests that started, and the time from arrival to start in
-    /// milliseconds, of half and of 99 of 100 of them.
-    std::uint64_t online = 0;
+    std::uint64_t requests = 0;
+
+    /// First event within the objective.
+    std::uint64_t in_time = 0;
+    std::uint64_t refused = 0;
+
+    /// Lost with their target or their entry.
+    std::uint64_t failed = 0;
+
+    /// Found their target full.
+    std::uint64_t queued = 0;
+
+    /// Time from arrival until it runs, and until its first event, in ms.
     double wait_p50_ms = 0;
     double wait_p99_ms = 0;
+    double first_event_p50_ms = 0;
+    double first_event_p99_ms = 0;
+};
 
-    /// Online requests that found their target full.
-    std::uint64_t queued = 0;
+/// What came of the batch items.
+struct batch_result
+{
+    /// Items that were due before the end, and those of them that were done in
+    /// time.
+    std::uint64_t due = 0;
+    std::uint64_t in_time = 0;
+    std::uint64_t done = 0;
 
-    /// Batch items that ended, and runs of items that were taken back.
-    std::uint64_t items = 0;
+    /// Runs that gave way to online work.
     std::uint64_t preempted = 0;
 
+    /// Events that were made and lost with their entry.
+    double lost_events = 0;
+
+    /// Share of the items that were due that was done in time.
+    double in_time_share() const
+    {
+        return due == 0
+                   ? 1
+                   : static_cast<double>(in_time) / static_cast<double>(due);
+    }
+};
+
+struct emulation_result
+{
+    online_result online;
+    batch_result batch;
+
     /// Share of all places that ran something, over time.
     double use = 0;
+    std::vector<fleet_sample> samples;
 };
 
 /// Plays a load in simulated time, in steps of 1 ms, with the decisions of the
-/// entries: placement, and the taking back of batch items. Each entry knows its
-/// own requests, and those of others as of their last message. The same seed
-/// gives the same result.
-emulator_result emulate(const emulator_settings& settings);
+/// entries. Each entry knows its own requests, and those of others as of their
+/// last message. The same seed gives the same result, and the same load for
+/// each policy.
+emulation_result emulate(const emulation_settings& settings);
 
 } // namespace tanagertrack::bench
 
--- a/src/batch/environment.hpp
+++ b/src/batch/environment.hpp
@@ -28,6 +28,10 @@
     /// The most urgent of all entries; those that can't be in time come last.
     urgency,
 
+    /// Baseline: those of all entries that are due first, also when they can't
+    /// be in time any more.
+    due,
+
     /// Baseline: each entry in its turn, its items by due time.
     by_entry
 };
--- a/src/batch/preemption.cpp
+++ b/src/batch/preemption.cpp
@@ -6,12 +6,17 @@
 namespace tanagertrack::batch
 {
 
+bool gives_way_before(const preemption_rank& a, const preemption_rank& b)
+{
+    return std::pair(a.how, b.events) > std::pair(b.how, a.events);
+}
+
 namespace
 {
 
-bool gives_way_before(const item_run& a, const item_run& b)
+preemption_rank rank_of(const item_run& it)
 {
-    return std::pair(a.rank.how, b.events) > std::pair(b.rank.how, a.events);
+    return {it.rank.how, it.events};
 }
 
 } // namespace
@@ -24,7 +29,8 @@
     {
         const bool candidate =
             it->attempt->where().get() == &where && it->may_be_taken_back();
-        if (candidate && (!chosen || gives_way_before(*it, *chosen)))
+        if (candidate &&
+            (!chosen || gives_way_before(rank_of(*it), rank_of(*chosen))))
             chosen = it;
     }
     return chosen;
@@ -33,7 +39,7 @@
 std::uint32_t items_to_take_back(const routing::target_load& load,
                                  std::uint32_t others)
 {
-    if (load.total() <= load.slots)
+    if (!is_overfull(load))
         return 0;
     const auto excess = load.total() - load.slots;
     return std::min(excess - std::min(excess, others), load.own_batch);
--- a/src/batch/preemption.hpp
+++ b/src/batch/preemption.hpp
@@ -9,11 +9,28 @@
 namespace tanagertrack::batch
 {
 
+/// What decides which of several items gives its place to online work.
+struct preemption_rank
+{
+    routing::urgency how;
+    std::uint32_t events = 0;
+};
+
+/// Whether an item gives way before another: the less urgent one; among equals
+/// the one that has got least far.
+bool gives_way_before(const preemption_rank& a, const preemption_rank& b);
+
 /// The item under way on a target that gives its place to online work, or
-/// none: the least urgent one; among equals the one that has got least far.
+/// none.
 item_run_ptr choose_preempted(const std::set<item_run_ptr>& running,
                               const targets::target& where);
 
+/// Whether a target has more requests than places.
+inline bool is_overfull(const routing::target_load& load)
+{
+    return load.total() > load.slots;
+}
+
 /// Own items to take back from a target with more requests than places, of
 /// which other processes take `others` back.
 std::uint32_t items_to_take_back(const routing::target_load& load,
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -570,6 +570,8 @@
         used.insert(it->attempt->where());
     for (const auto& it : used)
     {
+        if (!is_overfull(it->load))
+            continue;
         auto n = items_to_take_back(it->load, shared_.yields_before(*it));
         while (n-- != 0)
             make_room(*it);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -110,9 +110,10 @@
 
 void add_batch(setting_table& table, batch_settings& it)
 {
-    table.add_choice("batch.order", it.order, {"urgency", "by_entry"},
+    table.add_choice("batch.order", it.order, {"urgency", "due", "by_entry"},
                      "who gets free places: the most urgent items of all "
-                     "entries, or each entry in its turn (baseline)");
+                     "entries that can be in time; baselines: those that are "
+                     "due first, or each entry in its turn");
     table.add_integer("batch.max_items_per_job", it.max_items_per_job, 1,
                       10000000, "items of a job");
     table.add_integer("batch.reserved_slots", it.reserved_slots, 0, 1000,
--- a/src/tanagertrack_bench.cpp
+++ b/src/tanagertrack_bench.cpp
@@ -1,82 +1,167 @@
-#include "bench/fleet_emulator.hpp"
+#include "bench/emulation_report.hpp"
 #include "bench/growth.hpp"
 
 #include <tclap/CmdLine.h>
 
-#include <iomanip>
+#include <fstream>
 #include <iostream>
+#include <sstream>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace
 {
 
 using namespace tanagertrack;
+using bench::emulation_settings;
 
 constexpr int exit_usage = 2;
 
-void print(const std::string& policy, const std::string& reserve,
-           const bench::emulator_result& it)
+/// A policy under a name.
+struct variant
 {
-    std::cout << "| " << policy << " | " << reserve << " | " << it.online
-              << " | " << std::fixed << std::setprecision(1) << it.wait_p50_ms
-              << " | " << it.wait_p99_ms << " | " << it.queued << " | "
-              << it.items << " | " << it.preempted << " | "
-              << std::setprecision(3) << it.use << " |\n";
+    std::string name;
+    emulation_settings settings;
+};
+
+/// The given load under each variant of one decision; the baselines included.
+std::vector<variant> make_variants(const std::string& decision,
+                                   const emulation_settings& base)
+{
+    std::vector<variant> out;
+    const auto add = [&](const std::string& name) -> bench::policy_settings&
+    {
+        return out.emplace_back(variant{name, base}).settings.policy;
+    };
+    if (decision == "placement")
+    {
+        for (const auto* it :
+             {"expected_start", "two_choices", "round_robin", "random"})
+            add(it).placement = it;
+    }
+    else if (decision == "order")
+    {
+        for (const auto* it : {"urgency", "due", "by_entry"})
+            add(it).order = it;
+    }
+    else if (decision == "reserve")
+    {
+        for (const std::uint32_t n : {0, 1, 2})
+            add("reserve " + std::to_string(n)).reserve = n;
+    }
+    else if (decision == "progress")
+    {
+        add("recorded");
+        add("not recorded").progress_after = std::chrono::milliseconds(0);
+    }
+    else
+        add("as given");
+    return out;
+}
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream in(path);
+    if (!in)
+        throw std::runtime_error("can't read " + path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
 }
 
-/// Plays one load with each policy and several reserves.
-int run_placement(bench::emulator_settings settings)
+std::ofstream open_file(const std::string& path)
 {
-    std::cout << "| policy | reserve | online | wait p50, ms | p99, ms | "
-                 "queued | items | preempted | use |\n"
-                 "| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | "
-                 "---: |\n";
-    for (const auto* policy :
-         {"expected_start", "two_choices", "round_robin", "random"})
+    std::ofstream out(path);
+    if (!out)
+        throw std::runtime_error("can't write " + path);
+    return out;
+}
+
+emulation_settings load_settings(const std::string& path)
+{
+    emulation_settings settings;
+    if (path.empty())
+        return settings;
+    const auto errors = bench::read_emulation(settings, path, read_file(path));
+    std::string text;
+    for (const auto& it : errors)
+        text += (text.empty() ? "" : "\n") + config::to_string(it);
+    if (!text.empty())
+        throw std::runtime_error(text);
+    return settings;
+}
+
+/// Arguments of a comparison.
+struct comparison
+{
+    std::string decision;
+    std::string load;
+    std::uint64_t seeds = 1;
+    std::string json;
+    std::string plot;
+};
+
+int run_comparison(const comparison& it)
+{
+    std::vector<bench::policy_results> all;
+    for (auto& [name, settings] :
+         make_variants(it.decision, load_settings(it.load)))
     {
-        settings.policy = routing::parse_placement_policy(policy);
-        settings.has_batch = false;
-        print(policy, "no batch", emulate(settings));
-        settings.has_batch = true;
-        for (const std::uint32_t reserve : {0, 1, 2})
+        auto& row = all.emplace_back(bench::policy_results{name, {}});
+        for (std::uint64_t n = 0; n < it.seeds; ++n)
         {
-            settings.reserve = reserve;
-            print(policy, std::to_string(reserve), emulate(settings));
+            row.results.push_back(emulate(settings));
+            ++settings.seed;
         }
     }
+    write_table(std::cout, all);
+    if (!it.json.empty())
+    {
+        auto out = open_file(it.json);
+        write_json(out, all);
+    }
+    if (!it.plot.empty())
+    {
+        const auto fleet = load_settings(it.load).fleet;
+        auto out = open_file(it.plot);
+        write_plot(out, all.front().results.front(),
+                   fleet.targets * fleet.slots);
+    }
     return 0;
 }
 
 int run(int argc, char** argv)
 {
-    bench::emulator_settings settings;
     TCLAP::CmdLine cmd("measurements of tanagertrack", ' ', "0.1.0");
     TCLAP::UnlabeledValueArg<std::string> what(
-        "command", "placement: a load with each policy; growth: state by size",
-        true, "", "placement|growth", cmd);
-    TCLAP::ValueArg<double> rate("", "rate", "online requests in a second",
-                                 false, settings.online_per_second, "NUMBER",
-                                 cmd);
-    TCLAP::ValueArg<std::size_t> entries("", "entries", "entries", false,
-                                         settings.entries, "NUMBER", cmd);
-    TCLAP::ValueArg<std::size_t> targets("", "targets", "targets", false,
-                                         settings.targets, "NUMBER", cmd);
-    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed", false,
-                                        settings.seed, "NUMBER", cmd);
+        "command",
+        "growth: state by size; emulate: a load; placement, order, reserve, "
+        "progress: a load under each variant of that decision",
+        true, "", "COMMAND", cmd);
+    TCLAP::ValueArg<std::string> load(
+        "", "load", "YAML file with the fleet, its load and its troubles",
+        false, "", "FILE", cmd);
+    TCLAP::ValueArg<std::uint64_t> seeds(
+        "", "seeds", "loads that are drawn; the table has their means", false,
+        1, "NUMBER", cmd);
+    TCLAP::ValueArg<std::string> json("", "json", "writes all results here",
+                                      false, "", "FILE", cmd);
+    TCLAP::ValueArg<std::string> plot(
+        "", "plot", "writes a plot of the first result here (SVG)", false, "",
+        "FILE", cmd);
     cmd.parse(argc, argv);
     if (what.getValue() == "growth")
         return bench::run_growth(std::cout);
-    if (what.getValue() != "placement" || rate.getValue() <= 0 ||
-        entries.getValue() == 0 || targets.getValue() == 0)
+    for (const auto* it :
+         {"emulate", "placement", "order", "reserve", "progress"})
     {
-        std::cerr << "tanagertrack-bench: wrong arguments; --help lists them\n";
-        return exit_usage;
+        if (what.getValue() == it && seeds.getValue() > 0)
+            return run_comparison({it, load.getValue(), seeds.getValue(),
+                                   json.getValue(), plot.getValue()});
     }
-    settings.online_per_second = rate.getValue();
-    settings.entries = entries.getValue();
-    settings.targets = targets.getValue();
-    settings.seed = seed.getValue();
-    return run_placement(settings);
+    std::cerr << "tanagertrack-bench: wrong arguments; --help lists them\n";
+    return exit_usage;
 }
 
 } // namespace
--- a/test/bench/test_fleet_emulator.cpp
+++ b/test/bench/test_fleet_emulator.cpp
@@ -3,9 +3,10 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace tanagertrack;
+using namespace std::chrono_literals;
 using bench::emulate;
-using bench::emulator_settings;
-using routing::placement_policy;
+using bench::emulation_settings;
+using bench::trouble;
 
 namespace
 {
@@ -14,15 +15,56 @@
 
 /// The jumping load of the sites, at which peaks ask for more places than there
 /// are together with batch work.
-emulator_settings jumping_load()
+emulation_settings jumping_load()
 {
-    emulator_settings settings;
+    emulation_settings settings;
     settings.seed = seed;
-    settings.online_per_second = 60;
-    settings.length = std::chrono::milliseconds(20000);
+    settings.online.per_second = 60;
+    settings.batch.jobs_per_second = 3;
+    settings.length = 20s;
     return settings;
 }
 
+/// fast-trapani with some more jobs: enough places for all items over time, but
+/// not in the peaks. Jobs come to entries unevenly, as callers do.
+emulation_settings tight_load()
+{
+    emulation_settings settings;
+    settings.seed = 1;
+    settings.fleet.entries = 8;
+    settings.fleet.targets = 12;
+    settings.online.per_second = 56;
+    settings.online.events = 30;
+    settings.batch.jobs_per_second = 0.8;
+    settings.batch.events = 208;
+    settings.length = 40s;
+    return settings;
+}
+
+/// More batch work than there are places, over time.
+emulation_settings overload()
+{
+    auto settings = tight_load();
+    settings.fleet.targets = 11;
+    settings.batch.jobs_per_second = 1.1;
+    settings.length = 60s;
+    return settings;
+}
+
+/// Share of the items in time over several loads.
+double in_time_share(emulation_settings settings, const std::string& order)
+{
+    constexpr int loads = 3;
+    settings.policy.order = order;
+    double sum = 0;
+    for (int n = 0; n < loads; ++n)
+    {
+        sum += emulate(settings).batch.in_time_share();
+        ++settings.seed;
+    }
+    return sum / loads;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(fleet_emulator)
@@ -32,10 +74,21 @@
 {
     const auto a = emulate(jumping_load());
     const auto b = emulate(jumping_load());
-    BOOST_TEST(a.online == b.online);
-    BOOST_TEST(a.items == b.items);
-    BOOST_TEST(a.preempted == b.preempted);
-    BOOST_TEST(a.wait_p99_ms == b.wait_p99_ms);
+    BOOST_TEST(a.online.requests == b.online.requests);
+    BOOST_TEST(a.batch.done == b.batch.done);
+    BOOST_TEST(a.batch.preempted == b.batch.preempted);
+    BOOST_TEST(a.online.wait_p99_ms == b.online.wait_p99_ms);
+}
+
+// Guards against comparisons of policies that met different loads.
+BOOST_AUTO_TEST_CASE(policies_meet_the_same_load)
+{
+    auto settings = jumping_load();
+    const auto a = emulate(settings);
+    settings.policy.placement = "random";
+    const auto b = emulate(settings);
+    BOOST_TEST(a.online.requests == b.online.requests);
+    BOOST_TEST(a.batch.due == b.batch.due);
 }
 
 // The load that placement by expected start answers: online traffic jumps to
@@ -48,12 +101,11 @@
     const double max_wait_ms = static_cast<double>(
         routing::placement_settings().peer_preemption.count());
     auto settings = jumping_load();
-    BOOST_TEST(emulate(settings).wait_p99_ms <= max_wait_ms);
-    for (const auto baseline :
-         {placement_policy::random, placement_policy::two_choices})
+    BOOST_TEST(emulate(settings).online.wait_p99_ms <= max_wait_ms);
+    for (const auto* baseline : {"random", "two_choices"})
     {
-        settings.policy = baseline;
-        BOOST_TEST(emulate(settings).wait_p99_ms > max_wait_ms);
+        settings.policy.placement = baseline;
+        BOOST_TEST(emulate(settings).online.wait_p99_ms > max_wait_ms);
     }
 }
 
@@ -64,12 +116,56 @@
 BOOST_AUTO_TEST_CASE(reserve_leaves_fewer_items_to_be_taken_back)
 {
     auto settings = jumping_load();
-    settings.reserve = 0;
+    settings.policy.reserve = 0;
     const auto without = emulate(settings);
-    settings.reserve = 1;
+    settings.policy.reserve = 1;
     const auto with = emulate(settings);
-    BOOST_TEST(with.preempted * 3 <= without.preempted * 2);
+    BOOST_TEST(with.batch.preempted * 3 <= without.batch.preempted * 2);
     BOOST_TEST(with.use >= without.use * 0.9);
 }
 
+// The load that the order over all entries answers: the places suffice, but one
+// entry has many jobs while another has none. Items in time are those that the
+// operators ask for; with a turn for each entry they are not reached.
+BOOST_AUTO_TEST_CASE(uneven_jobs_are_in_time_when_places_suffice)
+{
+    constexpr double wanted = 0.95;
+    BOOST_TEST(in_time_share(tight_load(), "urgency") >= wanted);
+    BOOST_TEST(in_time_share(tight_load(), "by_entry") < wanted);
+}
+
+// The load that late items answer: more is asked for than there is, and an
+// order by due time works on items that end late all the same.
+BOOST_AUTO_TEST_CASE(overload_does_not_make_everything_late)
+{
+    BOOST_TEST(in_time_share(overload(), "urgency") >
+               1.2 * in_time_share(overload(), "due"));
+}
+
+// The load that recorded progress answers: all entries are lost while items
+// run, and the peak that follows leaves no time to run them again.
+BOOST_AUTO_TEST_CASE(lost_entries_cost_little_work)
+{
+    auto settings = tight_load();
+    settings.troubles = {{trouble::kind::entries_down, 20s, 500ms, 8}};
+    const auto with = emulate(settings);
+    settings.policy.progress_after = 0ms;
+    const auto without = emulate(settings);
+    BOOST_TEST(with.batch.lost_events > 0);
+    BOOST_TEST(with.batch.lost_events * 3 <= without.batch.lost_events);
+    BOOST_TEST(with.batch.in_time_share() >= without.batch.in_time_share());
+}
+
+// Guards against a fleet that stays degraded when what failed is back.
+BOOST_AUTO_TEST_CASE(work_goes_on_after_targets_were_down)
+{
+    auto settings = tight_load();
+    settings.batch.jobs_per_second = 0.3;
+    settings.troubles = {{trouble::kind::targets_down, 5s, 3s, 4}};
+    const auto it = emulate(settings);
+    BOOST_TEST(it.online.failed > 0U);
+    BOOST_TEST(it.batch.in_time_share() == 1);
+    BOOST_TEST(it.samples.back().batch_waiting == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
