Never tell an older state of a job than another entry has told

Cause: entries read the log of jobs on their own. Found on the way: an end that is recorded after a cancellation changed the counts of the cancelled job, and only the runner told "cancelling". Ruled out: a token in the answer (scripts carry none); telling a state only when all entries have read it (the slowest one holds all answers back). Change: confirmations name a time; a read of the log that started at or after it serves all of them, and they fail after 1 s. States, lists, results and cancellations of the product's interface, and empty pages and unknown jobs of both interfaces, are told after a confirmation. A read that waits uses the regular reads. The counts of a cancelled job are those at its cancellation. The explorer reads jobs and has processes whose followers are held.

--- a/src/api/batch_api.cpp
+++ b/src/api/batch_api.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace tanagertrack::api
@@ -91,13 +92,18 @@
     return "batch-" + common::to_hex(common::hash128({team, key}));
 }
 
-void refuse(const caller_request& request, result_code code)
+void refuse(const caller_request& request, const http::rejection& rejection)
 {
-    http::rejection rejection(code);
-    request.observer->record_first_answer(common::info(code).http_status);
+    request.observer->record_first_answer(
+        common::info(rejection.code).http_status);
     request.exchange->refuse(rejection);
 }
 
+void refuse(const caller_request& request, result_code code)
+{
+    refuse(request, http::rejection(code));
+}
+
 void respond(const caller_request& request, std::string body)
 {
     request.observer->record_first_answer(http::answer_head().status);
@@ -145,16 +151,36 @@
     auto job_id = make_job_id(request.team, key);
     const boost::intrusive_ptr<job_upload> upload(
         new job_upload(core_, request, job_id,
-                       [this, request, job_id] { show(request, job_id); }));
+                       [this, request, job_id, now = common::clock::now()]
+                       { show_accepted(request, job_id, now); }));
     upload->start();
 }
 
+void batch_api::show_accepted(const caller_request& request,
+                              const std::string& job_id,
+                              common::time_point submitted) const
+{
+    core_.results().find_current(
+        job_id, submitted,
+        [request](std::error_code ec, const state::batch_job* job)
+        {
+            if (job != nullptr)
+                return respond(request, make_job_json(*job) + '\n');
+
+            // Only the state is missing: the job itself is accepted.
+            http::rejection rejection(ec ? common::to_result_code(ec)
+                                         : result_code::unknown_job);
+            rejection.ran = common::execution::ran;
+            refuse(request, rejection);
+        });
+}
+
 void batch_api::find_job(
     const caller_request& request, const std::string& job_id,
     std::function<void(const state::batch_job&)> on_found) const
 {
-    core_.results().find(
-        job_id,
+    core_.results().find_current(
+        job_id, common::clock::now(),
         [request, on_found = std::move(on_found)](std::error_code ec,
                                                   const state::batch_job* job)
         {
@@ -170,26 +196,38 @@
 }
 
 void batch_api::list(const caller_request& request) const
+{
+    core_.results().confirm(common::clock::now(),
+                            [this, request](std::error_code ec)
+                            {
+                                if (ec)
+                                    return refuse(request,
+                                                  common::to_result_code(ec));
+                                respond(request, make_list_json(request.team));
+                            });
+}
+
+std::string batch_api::make_list_json(std::string_view team) const
 {
     std::string body = R"({"object":"list","data":[)";
     std::size_t n = 0;
     core_.jobs().table().for_each(
         [&](const state::batch_job& job)
         {
-            if (job.team != request.team || n >= max_listed_jobs)
+            if (job.team != team || n >= max_listed_jobs)
                 return;
             if (n++ != 0)
                 body += ',';
             body += make_job_json(job);
         });
-    respond(request, body + "]}\n");
+    return body + "]}\n";
 }
 
 void batch_api::show(const caller_request& request,
                      const std::string& job_id) const
 {
     find_job(request, job_id,
-             [this, request](const state::batch_job& job)
+             [request](const state::batch_job& job)
              { respond(request, make_job_json(job) + '\n'); });
 }
 
@@ -223,22 +261,19 @@
              });
 }
 
-std::string batch_api::make_job_json(const state::batch_job& job) const
+std::string batch_api::make_job_json(const state::batch_job& job)
 {
-    const auto count = [&job](proto::ItemState state)
+    const auto counted = std::span(job.results).first(job.counted_results());
+    const auto count = [&](proto::ItemState state)
     {
-        return std::ranges::count(job.items, state, &state::job_item::state);
+        return std::ranges::count_if(
+            counted,
+            [&](std::uint32_t item) { return job.items[item].state == state; });
     };
-    const auto open = count(proto::ITEM_OPEN);
-
-    // Items that run when the job is cancelled may still end with a result.
-    // The others count as cancelled once none runs in this process any more.
-    const bool running = core_.items().running_items(job.id) > 0;
-    const auto* status = open == 0        ? "completed"
-                         : !job.cancelled ? "in_progress"
-                         : running        ? "cancelling"
-                                          : "cancelled";
-    const bool cancelled = job.cancelled && !running;
+    const auto open = job.items.size() - counted.size();
+    const auto* status = open == 0       ? "completed"
+                         : job.cancelled ? "cancelled"
+                                         : "in_progress";
     json::object body;
     body["id"] = job.id;
     body["object"] = "batch";
@@ -247,7 +282,7 @@
                               {"completed", count(proto::ITEM_DONE)},
                               {"failed", count(proto::ITEM_DEAD)},
                               {"unknown", count(proto::ITEM_UNKNOWN)},
-                              {"cancelled", cancelled ? open : 0}};
+                              {"cancelled", job.cancelled ? open : 0}};
     body["created_at"] = job.created_ms / ms_per_s;
     body["expires_at"] = (job.created_ms + job.keep_ms) / ms_per_s;
     return json::serialize(body);
--- a/src/api/batch_api.hpp
+++ b/src/api/batch_api.hpp
@@ -2,6 +2,7 @@
 #define TANAGERTRACK_API_BATCH_API_HPP
 
 #include "api/caller_request.hpp"
+#include "common/clock.hpp"
 #include "entry/entry_core.hpp"
 
 #include <memory>
@@ -35,14 +36,21 @@
     void stream_results(const caller_request& request,
                         const std::string& job_id);
 
-    /// Looks up a job of the request's team and calls `on_found` with it.
-    /// Refuses the request if the team has no such job, or if the store can't
-    /// be read.
+    /// Answers a submission with the state of its job, which is accepted.
+    void show_accepted(const caller_request& request, const std::string& job_id,
+                       common::time_point submitted) const;
+
+    /// Looks up a job of the request's team and calls `on_found` with its
+    /// current state. Refuses the request if the team has no such job, or if
+    /// the store can't be read.
     void find_job(const caller_request& request, const std::string& job_id,
                   std::function<void(const state::batch_job&)> on_found) const;
 
+    /// Returns the JSON list of a team's jobs, serialized.
+    std::string make_list_json(std::string_view team) const;
+
     /// Returns the JSON object of a job, serialized.
-    std::string make_job_json(const state::batch_job& job) const;
+    static std::string make_job_json(const state::batch_job& job);
 
     entry::entry_core& core_;
 };
--- a/src/api/operator_api.cpp
+++ b/src/api/operator_api.cpp
@@ -199,8 +199,8 @@
 void operator_api::show_job(const http::http_exchange_ptr& exchange,
                             const std::string& job_id) const
 {
-    core_.results().find(
-        job_id,
+    core_.results().find_current(
+        job_id, common::clock::now(),
         [this, exchange](std::error_code ec, const state::batch_job* job)
         {
             if (!ec && job == nullptr)
--- a/src/api/result_stream.cpp
+++ b/src/api/result_stream.cpp
@@ -7,6 +7,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+#include <span>
 #include <utility>
 
 namespace tanagertrack::api
@@ -109,21 +111,30 @@
 
 void result_stream::read_page()
 {
-    core_.results().read(
-        job_id_, next_result_, max_page_bytes, std::chrono::milliseconds(0),
-        [self = boost::intrusive_ptr<result_stream>(this)](
-            const batch::results_page& page) { self->handle_page(page); });
+    core_.results().read(job_id_, next_result_, max_page_bytes,
+                         std::chrono::milliseconds(0), as_of_,
+                         [self = boost::intrusive_ptr<result_stream>(this)](
+                             const batch::results_page& page)
+                         { self->handle_page(page); });
 }
 
 void result_stream::handle_page(const batch::results_page& page)
 {
     if (page.ec)
         return fail(page.ec);
+    const auto* job = core_.jobs().table().find(job_id_);
+    if (job == nullptr)
+        return fail(make_error_code(result_code::log_unavailable));
     std::string lines;
     for (const auto& it : page.results)
+    {
+        if (next_result_ == job->counted_results())
+            break;
         lines += make_result_line(job_id_, it);
-    next_result_ = page.next;
-    results_done_ = page.results.empty();
+        ++next_result_;
+    }
+    results_done_ = page.results.empty() ||
+                    (job->cancelled && next_result_ == job->counted_results());
     write(std::move(lines), true);
 }
 
@@ -131,7 +142,7 @@
 {
     const auto* job = core_.jobs().table().find(job_id_);
     const bool more = job != nullptr && job->cancelled &&
-                      job->results.size() < job->items.size() &&
+                      job->counted_results() < job->items.size() &&
                       next_part_ < job->parts.size();
     if (!more)
         return write({}, false);
@@ -149,11 +160,16 @@
     if (ec || job == nullptr)
         return fail(make_error_code(result_code::log_unavailable));
     std::string lines;
+    const auto late_results =
+        std::span(job->results).subspan(job->counted_results());
     const auto& part = batch::part_of(record);
     auto index = part.first_item();
     for (const auto& it : part.items())
     {
-        if (job->items[index].state == proto::ITEM_OPEN)
+        const bool is_cancelled =
+            job->items[index].state == proto::ITEM_OPEN ||
+            std::ranges::find(late_results, index) != late_results.end();
+        if (is_cancelled)
             lines += make_cancelled_line(job_id_, it.id());
         ++index;
     }
--- a/src/api/result_stream.hpp
+++ b/src/api/result_stream.hpp
@@ -2,6 +2,7 @@
 #define TANAGERTRACK_API_RESULT_STREAM_HPP
 
 #include "api/caller_request.hpp"
+#include "common/clock.hpp"
 #include "entry/entry_core.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -14,7 +15,8 @@
 {
 
 /// Streams the results that a job has so far as JSON Lines, one object per
-/// line. For a cancelled job, adds a line for each item that was not run. The
+/// line. For a cancelled job, these are the results recorded before the
+/// cancellation, and a line for each other item. The
 /// object keeps itself alive until the response is complete or aborted. Not
 /// thread-safe: all calls are made on the thread of the core's io_context.
 class result_stream
@@ -36,7 +38,7 @@
     void handle_page(const batch::results_page& page);
 
     /// Reads the record with the next part of a cancelled job's items, to find
-    /// those that were not run. Ends the response if there are no more parts.
+    /// those without a result. Ends the response if there are no more parts.
     void read_next_part();
     void handle_part(std::error_code ec, const proto::JobRecord& record);
 
@@ -53,6 +55,9 @@
     caller_request request_;
     std::string job_id_;
 
+    /// Time of the request: all results recorded before it are sent.
+    common::time_point as_of_ = common::clock::now();
+
     /// Position of the next result to read.
     std::size_t next_result_ = 0;
 
--- a/src/batch/at_most_once_calls.cpp
+++ b/src/batch/at_most_once_calls.cpp
@@ -84,14 +84,14 @@
     intent.set_member(jobs_.member());
     intent.set_attempt(request->attempt);
     intent.set_created_ms(common::unix_time_ms());
-    request->intent_append = jobs_.append(
-        {record}, false,
-        [this, request](std::error_code ec, std::uint64_t)
-        {
-            if (ec && request->done)
-                return finish(request, {outcome::refused, ec, {}});
-            jobs_.confirm(std::chrono::milliseconds(0), [](std::error_code) {});
-        });
+    request->intent_append =
+        jobs_.append({record}, false,
+                     [this, request](std::error_code ec, std::uint64_t)
+                     {
+                         if (ec && request->done)
+                             return finish(request, {outcome::refused, ec, {}});
+                         jobs_.read_soon();
+                     });
 }
 
 void at_most_once_calls::handle_intent(const proto::CallIntent& intent,
--- a/src/batch/intake.cpp
+++ b/src/batch/intake.cpp
@@ -174,7 +174,7 @@
     if (on_progress_)
         on_progress_();
     if (committed_ && unacknowledged_bytes_ == 0)
-        owner_.jobs_.confirm(milliseconds(0), [](std::error_code) {});
+        owner_.jobs_.read_soon();
 }
 
 void submission::handle_timeout()
--- a/src/batch/item_intents.cpp
+++ b/src/batch/item_intents.cpp
@@ -20,13 +20,9 @@
     intent.set_item(item.index);
     intent.set_member(jobs.member());
 
-    // The result arrives when the record is read back; confirm() requests that
-    // read without delay.
+    // The result arrives when the record is read back.
     jobs.append({record}, true,
-                [&jobs](std::error_code, std::uint64_t) {
-                    jobs.confirm(std::chrono::milliseconds(0),
-                                 [](std::error_code) {});
-                });
+                [&jobs](std::error_code, std::uint64_t) { jobs.read_soon(); });
     return false;
 }
 
--- a/src/batch/job_log.cpp
+++ b/src/batch/job_log.cpp
@@ -178,6 +178,21 @@
     follower_->start(from);
 }
 
+void job_log::confirm(common::time_point time,
+                      std::function<void(std::error_code)> handler)
+{
+    follower_->confirm(time,
+                       [this, handler = std::move(handler)](std::error_code ec)
+                       {
+                           // While a checkpoint is searched for, the table lags
+                           // behind what the follower has read.
+                           if (!ec && !current_)
+                               ec = make_error_code(
+                                   common::result_code::log_unavailable);
+                           handler(ec);
+                       });
+}
+
 void job_log::append_checkpoint()
 {
     auto records = state::make_checkpoint(table_, follower_->next_offset(),
--- a/src/batch/job_log.hpp
+++ b/src/batch/job_log.hpp
@@ -118,11 +118,16 @@
         return writer_->withdraw(id);
     }
 
-    /// See `partition_follower::confirm`.
-    void confirm(std::chrono::milliseconds max_age,
-                 std::function<void(std::error_code)> handler)
+    /// Calls `handler` as soon as the table reflects all records that were
+    /// appended before `time`, or with `log_unavailable`. See
+    /// `partition_follower::confirm`.
+    void confirm(common::time_point time,
+                 std::function<void(std::error_code)> handler);
+
+    /// Reads the records that were appended up to now without delay.
+    void read_soon()
     {
-        follower_->confirm(max_age, std::move(handler));
+        follower_->confirm(common::clock::now(), [](std::error_code) {});
     }
 
     /// Reads the record at an offset from the store. Error `log_unavailable` if
--- a/src/batch/results.cpp
+++ b/src/batch/results.cpp
@@ -16,11 +16,6 @@
 namespace
 {
 
-/// Maximum age of the view of the log with which a read without results is
-/// answered: the caller may have seen results at another entry. Below the time
-/// in which users expect a result to be known everywhere (1 s).
-constexpr auto max_view_age = milliseconds(500);
-
 /// Maximum number of results in a page.
 constexpr std::size_t max_page_results = 256;
 
@@ -37,6 +32,7 @@
     std::size_t after = 0;
     std::size_t max_bytes = 0;
     common::time_point wait_deadline;
+    common::time_point as_of;
     std::function<void(const results_page&)> done;
     boost::asio::steady_timer timer;
     results_page page;
@@ -57,25 +53,23 @@
     jobs_.add_listener(std::move(listener));
 }
 
-void results::find(
-    const std::string& job,
-    std::function<void(std::error_code, const state::batch_job*)> done)
+void results::find(const std::string& job, job_handler done)
 {
     if (const auto* known = jobs_.table().find(job))
         return done({}, known);
-    jobs_.confirm(milliseconds(0),
-                  [this, job, done = std::move(done)](std::error_code ec)
-                  {
-                      if (ec || !jobs_.is_current())
-                          return done(
-                              make_error_code(result_code::log_unavailable),
-                              nullptr);
-                      done({}, jobs_.table().find(job));
-                  });
+    find_current(job, common::clock::now(), std::move(done));
+}
+
+void results::find_current(const std::string& job, common::time_point as_of,
+                           job_handler done)
+{
+    jobs_.confirm(as_of, [this, job, done = std::move(done)](std::error_code ec)
+                  { done(ec, ec ? nullptr : jobs_.table().find(job)); });
 }
 
 void results::read(const std::string& job, std::size_t after,
                    std::size_t max_bytes, milliseconds wait,
+                   common::time_point as_of,
                    std::function<void(const results_page&)> done)
 {
     const auto request = std::make_shared<page_read>(context_);
@@ -83,6 +77,7 @@
     request->after = after;
     request->max_bytes = max_bytes;
     request->wait_deadline = common::clock::now() + wait;
+    request->as_of = as_of;
     request->done = std::move(done);
     request->page.next = after;
     find(job,
@@ -106,8 +101,17 @@
     if (known->results.size() > request->after)
         return read_texts(request);
 
-    // Another entry may have returned results that are not known here yet.
-    jobs_.confirm(max_view_age,
+    // The log is followed anyway, so a read that waits mostly needs no call of
+    // its own to the store. While the store is out of reach, the read fails at
+    // once instead of waiting in vain.
+    if (common::clock::now() < request->wait_deadline && jobs_.reachable())
+        return wait(request);
+    confirm_end(request);
+}
+
+void results::confirm_end(const page_read_ptr& request)
+{
+    jobs_.confirm(request->as_of,
                   [this, request](std::error_code ec)
                   {
                       if (ec)
@@ -116,14 +120,12 @@
                       if (job != nullptr &&
                           job->results.size() > request->after)
                           return read_texts(request);
-                      wait(request);
+                      finish_read(request, {});
                   });
 }
 
 void results::wait(const page_read_ptr& request)
 {
-    if (common::clock::now() >= request->wait_deadline)
-        return finish_read(request, {});
     request->waiting = true;
     waiting_.emplace(request->job, request);
     request->timer.expires_at(request->wait_deadline);
@@ -140,7 +142,7 @@
                 waiting_.erase(it);
                 break;
             }
-            finish_read(request, {});
+            confirm_end(request);
         });
 }
 
@@ -272,8 +274,7 @@
                           [this, done](std::error_code result, std::uint64_t)
                           {
                               if (!result)
-                                  jobs_.confirm(milliseconds(0),
-                                                [](std::error_code) {});
+                                  jobs_.read_soon();
                               done(result);
                           });
          });
--- a/src/batch/results.hpp
+++ b/src/batch/results.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 namespace tanagertrack::batch
@@ -42,12 +43,18 @@
 };
 
 /// Reads jobs and their results, whichever process runs them, and cancels jobs.
-/// A job that is unknown here is looked up in the store before it is reported
-/// as unknown. Not thread-safe: all calls are made on the thread of the
-/// io_context.
+/// Reads are monotonic across processes: what a caller was told of a job by any
+/// process holds in each later answer of every process. Before a statement that
+/// a later record would revise (a state, the end of the results, an unknown
+/// job), the log is read up to the end that it had when the request came.
+/// Not thread-safe: all calls are made on the thread of the io_context.
 class results
 {
 public:
+    /// Receives a job, or nullptr if there is no such job.
+    using job_handler =
+        std::function<void(std::error_code, const state::batch_job*)>;
+
     results(boost::asio::io_context& context, job_log& jobs, text_store& texts);
 
     results(const results&) = delete;
@@ -55,9 +62,10 @@
 
     /// Reads the results at positions from `after` on, up to `max_bytes` of
     /// text, but at least one result if there is one. If there is none, waits
-    /// for one for at most `wait`.
+    /// for one for at most `wait`. A page without results is returned only if
+    /// no result was recorded before `as_of`, which must not be in the future.
     void read(const std::string& job, std::size_t after, std::size_t max_bytes,
-              std::chrono::milliseconds wait,
+              std::chrono::milliseconds wait, common::time_point as_of,
               std::function<void(const results_page&)> done);
 
     /// Reads the request body of an item that has not ended; the body of an
@@ -76,18 +84,35 @@
     void cancel(const std::string& job,
                 std::function<void(std::error_code)> done);
 
+    /// Calls `done` as soon as the table of jobs includes all records that were
+    /// appended before `as_of`. Error: `log_unavailable`.
+    void confirm(common::time_point as_of,
+                 std::function<void(std::error_code)> done)
+    {
+        jobs_.confirm(as_of, std::move(done));
+    }
+
     /// Calls `done` with the job, or with nullptr if the store confirms that
-    /// there is no such job. Error: `log_unavailable`, if the store can't be
+    /// there is no such job. The state of the job may be older than one that
+    /// another process has reported. Error: `log_unavailable`, if the job is
+    /// unknown here and the store can't be read.
+    void find(const std::string& job, job_handler done);
+
+    /// Like `find`, but the state of the job includes all records that were
+    /// appended before `as_of`. Error: `log_unavailable`, if the store can't be
     /// read.
-    void
-    find(const std::string& job,
-         std::function<void(std::error_code, const state::batch_job*)> done);
+    void find_current(const std::string& job, common::time_point as_of,
+                      job_handler done);
 
 private:
     struct page_read;
     using page_read_ptr = std::shared_ptr<page_read>;
 
     void read_or_wait(const page_read_ptr& request);
+
+    /// Finishes the read with the results that are known once the log is known
+    /// up to `as_of`.
+    void confirm_end(const page_read_ptr& request);
     void wait(const page_read_ptr& request);
     void read_texts(const page_read_ptr& request);
     void handle_text(const page_read_ptr& request, std::error_code ec,
--- a/src/state/job_checkpoint.cpp
+++ b/src/state/job_checkpoint.cpp
@@ -134,6 +134,8 @@
         head.set_due_after_ms(from.due_after_ms);
         head.set_keep_ms(from.keep_ms);
         head.set_ended(from.cancelled);
+        if (from.results_before_cancellation)
+            head.set_results_before_end(*from.results_before_cancellation);
         for (const auto& [item, it] : from.progress)
         {
             auto& out = *head.add_progress();
@@ -238,6 +240,8 @@
             it.due_after_ms = from.due_after_ms();
             it.keep_ms = from.keep_ms();
             it.cancelled = from.ended();
+            if (from.has_results_before_end())
+                it.results_before_cancellation = from.results_before_end();
             to.accepted_ids_[it.accepted_at] = it.id;
         }
         for (const auto& part : from.parts())
--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -198,6 +198,8 @@
     auto* it = find_mutable(end.job());
     if (it == nullptr || std::exchange(it->cancelled, true))
         return;
+    it->results_before_cancellation =
+        static_cast<std::uint32_t>(it->results.size());
     for (const auto& item : it->items)
     {
         if (item.state == proto::ITEM_OPEN)
--- a/src/state/job_table.hpp
+++ b/src/state/job_table.hpp
@@ -120,6 +120,20 @@
     /// True if the caller has cancelled the open items.
     bool cancelled = false;
 
+    /// Number of results that were recorded before the cancellation;
+    /// std::nullopt if the job is not cancelled, or if its cancellation was
+    /// read from a checkpoint of a version that did not store the number.
+    std::optional<std::uint32_t> results_before_cancellation;
+
+    /// Returns the number of results that count for the state of the job, which
+    /// is final once the job is cancelled: the results of ends that were
+    /// recorded later stay readable but don't count.
+    std::size_t counted_results() const
+    {
+        return results_before_cancellation.value_or(
+            static_cast<std::uint32_t>(results.size()));
+    }
+
     /// Returns true if items still have to be run.
     bool is_open() const
     {
@@ -216,7 +230,8 @@
 /// - The tokens of an item are waiting until the item has ended or its job was
 ///   cancelled.
 /// - The first end of an item counts. The position of its result is the number
-///   of earlier ends in the job. Ends after the job was cancelled count too.
+///   of earlier ends in the job. Ends after the job was cancelled have results
+///   too, but don't change the state of the job (`counted_results`).
 /// - The first intent of an item or call counts. It is undone only for a call
 ///   whose own request reports that the call did not run.
 /// - A job is reassigned only if the record names the process that runs it.
--- a/src/store/partition_follower.cpp
+++ b/src/store/partition_follower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace tanagertrack::store
@@ -22,7 +23,7 @@
     : service_(std::move(service)), partition_(std::move(partition)),
       settings_(settings), hooks_(std::move(hooks)),
       backoff_(settings.retry, common::hash64(common::random_id())),
-      timer_(context)
+      timer_(context), confirmation_timer_(context)
 {
 }
 
@@ -34,6 +35,7 @@
     next_offset_ = offset;
     running_ = true;
     reading_ = false;
+    confirming_ = false;
     current_as_of_.reset();
     read_next();
 }
@@ -43,11 +45,8 @@
     ++run_;
     running_ = false;
     timer_.cancel();
-    auto handlers = std::exchange(waiting_confirmations_, {});
-    for (auto& it : std::exchange(active_confirmations_, {}))
-        handlers.push_back(std::move(it));
-    for (const auto& it : handlers)
-        it(make_error_code(result_code::log_unavailable));
+    end_confirmations([](const confirmation&) { return true; },
+                      make_error_code(result_code::log_unavailable));
 }
 
 void partition_follower::read_next()
@@ -137,6 +136,11 @@
     current_as_of_ = std::max(started, current_as_of_.value_or(started));
     if (caught_up && hooks_.on_caught_up)
         hooks_.on_caught_up();
+    if (run != run_)
+        return false;
+    end_confirmations([as_of = *current_as_of_](const confirmation& it)
+                      { return it.time <= as_of; },
+                      {});
     return run == run_;
 }
 
@@ -146,22 +150,26 @@
         hooks_.on_reachable(reachable);
 }
 
-void partition_follower::confirm(milliseconds max_age,
+void partition_follower::confirm(common::time_point time,
                                  std::function<void(std::error_code)> handler)
 {
     if (!running_)
         return handler(make_error_code(result_code::log_unavailable));
-    if (current_as_of_ && common::clock::now() - *current_as_of_ < max_age)
+    if (current_as_of_ && *current_as_of_ >= time)
         return handler({});
-    waiting_confirmations_.push_back(std::move(handler));
+    confirmations_.push_back({time,
+                              common::clock::now() + settings_.max_confirmation,
+                              std::move(handler)});
+    if (confirmations_.size() == 1)
+        schedule_confirmation_timeout();
     start_confirmation();
 }
 
 void partition_follower::start_confirmation()
 {
-    if (!active_confirmations_.empty() || waiting_confirmations_.empty())
+    if (confirming_ || confirmations_.empty())
         return;
-    active_confirmations_ = std::exchange(waiting_confirmations_, {});
+    confirming_ = true;
     read_call call;
     call.from = partition_;
     call.offset = next_offset_;
@@ -178,19 +186,54 @@
                                                   std::uint64_t offset,
                                                   const read_result& result)
 {
-    if (run != run_ || !apply_read(started, offset, result))
+    if (run != run_)
         return;
-    auto confirmed = std::exchange(active_confirmations_, {});
-    if (!result.ec && next_offset_ < result.end)
-    {
-        // The end is not reached yet: continue with a further read.
-        for (auto& it : confirmed)
-            waiting_confirmations_.push_back(std::move(it));
-        return start_confirmation();
-    }
-    for (const auto& it : confirmed)
-        it(result.ec);
-    start_confirmation();
+    confirming_ = false;
+
+    // Ends the confirmations that the read served, if it reached the end.
+    if (!apply_read(started, offset, result))
+        return;
+    if (result.ec)
+        end_confirmations([started](const confirmation& it)
+                          { return it.time <= started; },
+                          result.ec);
+    if (run == run_)
+        start_confirmation();
+}
+
+void partition_follower::end_confirmations(
+    const std::function<bool(const confirmation&)>& is_due, std::error_code ec)
+{
+    // Handlers may add confirmations or stop the follower.
+    const auto due = std::stable_partition(
+        confirmations_.begin(), confirmations_.end(),
+        [&is_due](const confirmation& it) { return !is_due(it); });
+    std::vector<confirmation> ended(
+        std::make_move_iterator(due),
+        std::make_move_iterator(confirmations_.end()));
+    confirmations_.erase(due, confirmations_.end());
+    if (!ended.empty())
+        schedule_confirmation_timeout();
+    for (const auto& it : ended)
+        it.handler(ec);
+}
+
+void partition_follower::schedule_confirmation_timeout()
+{
+    confirmation_timer_.cancel();
+    if (confirmations_.empty())
+        return;
+    confirmation_timer_.expires_at(confirmations_.front().deadline);
+    confirmation_timer_.async_wait(
+        [self = shared_from_this(), run = run_](const auto& ec)
+        {
+            if (ec || run != self->run_)
+                return;
+            self->end_confirmations(
+                [now = common::clock::now()](const confirmation& it)
+                { return it.deadline <= now; },
+                make_error_code(result_code::log_unavailable));
+        });
 }
 
 void partition_follower::read_soon()
--- a/src/store/partition_follower.hpp
+++ b/src/store/partition_follower.hpp
@@ -33,6 +33,9 @@
     /// to the store.
     std::chrono::milliseconds min_interval{0};
     std::size_t max_bytes = 1024UL * 1024;
+
+    /// Maximum time from a call of `confirm` to its result.
+    std::chrono::milliseconds max_confirmation{1000};
     common::backoff_settings retry{std::chrono::milliseconds(50),
                                    std::chrono::milliseconds(600)};
 };
@@ -101,10 +104,11 @@
     }
 
     /// Calls `handler` as soon as all records are known that were appended
-    /// `max_age` or longer before this call; at once if they are known already.
-    /// Calls it with an error if the store can't be read or the follower is not
-    /// running.
-    void confirm(std::chrono::milliseconds max_age,
+    /// before `time`; at once if they are known already. `time` must not be in
+    /// the future. All pending confirmations share one read of the store. Calls
+    /// `handler` with `log_unavailable` if the store can't be read, the end is
+    /// not reached within `max_confirmation`, or the follower is not running.
+    void confirm(common::time_point time,
                  std::function<void(std::error_code)> handler);
 
     /// Starts the next read without waiting for `min_interval` to pass.
@@ -126,6 +130,20 @@
                                   std::uint64_t offset,
                                   const read_result& result);
 
+    /// A call of `confirm` that waits for its result.
+    struct confirmation
+    {
+        common::time_point time;
+        common::time_point deadline;
+        std::function<void(std::error_code)> handler;
+    };
+
+    /// Ends the confirmations for which `is_due` returns true.
+    void
+    end_confirmations(const std::function<bool(const confirmation&)>& is_due,
+                      std::error_code ec);
+    void schedule_confirmation_timeout();
+
     store_service service_;
     partition_ref partition_;
     follower_settings settings_;
@@ -145,10 +163,13 @@
     common::time_point last_read_start_;
     std::optional<common::time_point> current_as_of_;
 
-    /// Handlers of confirmations that wait for the next confirmation read, and
-    /// of those that the one in progress serves.
-    std::vector<std::function<void(std::error_code)>> waiting_confirmations_;
-    std::vector<std::function<void(std::error_code)>> active_confirmations_;
+    /// Pending confirmations in the order of their calls, and so of their
+    /// deadlines.
+    std::vector<confirmation> confirmations_;
+    boost::asio::steady_timer confirmation_timer_;
+
+    /// True while a confirmation read is pending.
+    bool confirming_ = false;
 };
 
 } // namespace tanagertrack::store
--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -63,17 +63,18 @@
     store::follower_settings settings;
     settings.min_interval = std::chrono::milliseconds(0);
     settings.wait = std::chrono::milliseconds(50);
+    settings.max_confirmation = std::chrono::milliseconds(500);
     settings.retry = {std::chrono::milliseconds(1),
                       std::chrono::milliseconds(5)};
     return settings;
 }
 
-inline batch::job_log_settings fast_log_settings(const std::string& member)
+/// Settings with which a follower that has caught up reads no record by itself:
+/// its view of the log changes only by confirmations.
+inline store::follower_settings held_follower_settings()
 {
-    batch::job_log_settings settings;
-    settings.member = member;
-    settings.reading = fast_follower_settings();
-    settings.writing.retry = settings.reading.retry;
+    auto settings = fast_follower_settings();
+    settings.min_interval = std::chrono::hours(1);
     return settings;
 }
 
@@ -88,8 +89,12 @@
 /// The batch components of one process, with short times.
 struct batch_process
 {
-    explicit batch_process(batch_cluster& shared, std::string name = "m1")
-        : cluster(shared), member(std::move(name))
+    explicit batch_process(
+        batch_cluster& shared, std::string name = "m1",
+        store::follower_settings reading = fast_follower_settings())
+        : cluster(shared), member(std::move(name)),
+          jobs(cluster.context, make_service(),
+               make_log_settings(member, reading))
     {
         settings.check_interval = std::chrono::milliseconds(5);
         settings.record_interval = std::chrono::milliseconds(1);
@@ -195,6 +200,38 @@
         return jobs.table().find(id);
     }
 
+    static batch::job_log_settings
+    make_log_settings(const std::string& member,
+                      const store::follower_settings& reading)
+    {
+        batch::job_log_settings settings;
+        settings.member = member;
+        settings.reading = reading;
+        settings.writing.retry = reading.retry;
+        return settings;
+    }
+
+    /// Returns the service of the store, with the outcome `log_reads` for this
+    /// process's reads of the log. Reads that get no answer stay pending.
+    store::store_service make_service()
+    {
+        auto out = cluster.store.service();
+        out.read =
+            [this, read = out.read](const store::read_call& call, auto done)
+        {
+            on_log_read();
+            if (log_reads == call_outcome::done)
+                return read(call, std::move(done));
+            if (log_reads == call_outcome::silent)
+                return;
+            store::read_result result;
+            result.ec = make_error_code(common::result_code::log_unavailable);
+            boost::asio::post(cluster.context, [done = std::move(done), result]
+                              { done(result); });
+        };
+        return out;
+    }
+
     /// Returns true if the job is known and all of its items have results.
     bool finished(const std::string& id) const
     {
@@ -236,8 +273,15 @@
         {
             return peer_items_ahead;
         }};
-    batch::job_log jobs{cluster.context, cluster.store.service(),
-                        fast_log_settings(member)};
+
+    /// Outcome of the process's reads of the log; the outcomes of the store
+    /// apply as well.
+    call_outcome log_reads = call_outcome::done;
+
+    /// Called at each read of the log by this process.
+    std::function<void()> on_log_read = [] {
+    };
+    batch::job_log jobs;
     batch::text_store texts{cluster.context, cluster.store.service(),
                             fast_text_settings(member)};
     batch::result_recorder recorder{cluster.context, jobs, texts,
--- a/test/batch/explorer.cpp
+++ b/test/batch/explorer.cpp
@@ -90,8 +90,8 @@
 void explorer::start_process(std::size_t index)
 {
     const auto name = "m" + std::to_string(processes_started_++);
-    processes_[index] =
-        std::make_unique<explorer_process>(context_, store_, name);
+    processes_[index] = std::make_unique<explorer_process>(
+        context_, store_, name, with_probability(0.3));
     processes_[index]->jobs.add_listener(make_listener(name));
     processes_[index]->jobs.start();
 }
@@ -150,14 +150,15 @@
 void explorer::run_step()
 {
     using action = void (explorer::*)();
-    constexpr std::array<action, 14> actions{
+    constexpr std::array<action, 16> actions{
         &explorer::submit_job,         &explorer::submit_job,
         &explorer::submit_job,         &explorer::finish_item,
         &explorer::finish_item,        &explorer::finish_item,
         &explorer::cancel_job,         &explorer::reassign_job,
         &explorer::request_call,       &explorer::report_call,
         &explorer::append_item_intent, &explorer::restart_process,
-        &explorer::append_checkpoint,  &explorer::expire_records};
+        &explorer::append_checkpoint,  &explorer::expire_records,
+        &explorer::read_state,         &explorer::read_results};
     (this->*actions[random_below(actions.size())])();
     if (with_probability(0.2))
         store_.run_one_late([this](std::size_t n) { return random_below(n); });
@@ -194,6 +195,7 @@
             if (!*alive)
                 return;
             history.accepted |= !result;
+            history.told_accepted |= !result;
             if (result && result->ran == common::execution::not_run)
                 ++history.refused_not_run;
             if (result && result->ran != common::execution::not_run)
@@ -245,8 +247,77 @@
         job,
         [this, job, alive = process.alive](std::error_code ec)
         {
-            if (*alive && !ec)
-                jobs_[job].cancel_confirmed = true;
+            if (!*alive || ec)
+                return;
+            jobs_[job].cancel_confirmed = true;
+            jobs_[job].told_cancelled = true;
+        });
+}
+
+void explorer::read_state()
+{
+    auto& process = random_process();
+    const auto id = "j" + std::to_string(random_below(job_count));
+    process.results.find_current(
+        id, common::clock::now(),
+        [this, id, before = jobs_[id],
+         alive = process.alive](std::error_code ec, const state::batch_job* job)
+        {
+            if (!*alive || ec)
+                return;
+            ++coverage.reads;
+            if (job == nullptr)
+            {
+                if (before.told_accepted)
+                    report_violation("job " + id +
+                                     " is unknown after it was accepted");
+                return;
+            }
+            if (job->results.size() < before.told_results)
+                report_violation("job " + id + " has " +
+                                 std::to_string(job->results.size()) +
+                                 " results after " +
+                                 std::to_string(before.told_results));
+            if (before.told_cancelled && !job->cancelled)
+                report_violation("job " + id +
+                                 " is open after it was cancelled");
+            const bool final_count_changed =
+                before.told_cancelled_results && job->cancelled &&
+                job->counted_results() != *before.told_cancelled_results;
+            if (final_count_changed)
+                report_violation("the counted results of job " + id +
+                                 " changed after its cancellation");
+            auto& history = jobs_[id];
+            history.told_accepted = true;
+            history.told_cancelled |= job->cancelled;
+            if (job->cancelled)
+                history.told_cancelled_results = job->counted_results();
+            history.told_results =
+                std::max(history.told_results, job->results.size());
+        });
+}
+
+void explorer::read_results()
+{
+    auto& process = random_process();
+    const auto id = "j" + std::to_string(random_below(job_count));
+    const auto before = jobs_[id];
+    const auto after = random_below(before.told_results + 1);
+    process.results.read(
+        id, after, SIZE_MAX, std::chrono::milliseconds(0), common::clock::now(),
+        [this, id, before, after,
+         alive = process.alive](const batch::results_page& page)
+        {
+            if (!*alive || page.ec)
+                return;
+            ++coverage.reads;
+            if (page.results.empty() && after < before.told_results)
+                report_violation(
+                    "no result at position " + std::to_string(after) +
+                    " of job " + id + " after " +
+                    std::to_string(before.told_results) + " were reported");
+            auto& history = jobs_[id];
+            history.told_results = std::max(history.told_results, page.next);
         });
 }
 
@@ -401,6 +472,11 @@
         store_.run_one_late([this](std::size_t n) { return random_below(n); }))
         run_ready(context_);
     run_ready(context_);
+
+    // Processes that read late catch up.
+    for (const auto& it : processes_)
+        it->jobs.read_soon();
+    run_ready(context_);
 }
 
 state::job_table explorer::fold_log()
--- a/test/batch/explorer.hpp
+++ b/test/batch/explorer.hpp
@@ -37,6 +37,15 @@
     unsigned refused_not_run = 0;
     bool accepted = false;
     bool cancel_confirmed = false;
+
+    /// State of the job as told to callers by any process: later reads must not
+    /// fall behind it.
+    bool told_accepted = false;
+    bool told_cancelled = false;
+    std::size_t told_results = 0;
+
+    /// Results that counted in the first state that was told as cancelled.
+    std::optional<std::size_t> told_cancelled_results;
 };
 
 /// What callers have observed of a call that runs at most once.
@@ -61,6 +70,9 @@
     /// Submissions whose outcome was unknown at their deadline.
     unsigned unknown_outcomes = 0;
 
+    /// Reads of a job's state or results that succeeded.
+    unsigned reads = 0;
+
     /// Times that records before a complete checkpoint were dropped.
     unsigned expiries = 0;
 };
@@ -70,11 +82,13 @@
 class explorer_process
 {
 public:
+    /// With `reads_late`, the process reads the log only for its callers once
+    /// it has caught up.
     explorer_process(boost::asio::io_context& context, fake_store& store,
-                     const std::string& name)
+                     const std::string& name, bool reads_late)
         : alive(std::make_shared<bool>(true)),
           jobs(context, make_service(store.service(), alive),
-               log_settings(name)),
+               log_settings(name, reads_late)),
           texts(context, make_service(store.service(), alive),
                 text_settings(name)),
           recorder(context, jobs, texts, std::chrono::milliseconds(0)),
@@ -138,11 +152,15 @@
 
     /// All retry pauses are zero, and held reads end only on new records, so
     /// that a seed's run does not depend on the clock.
-    static batch::job_log_settings log_settings(const std::string& name)
+    static batch::job_log_settings log_settings(const std::string& name,
+                                                bool reads_late)
     {
         batch::job_log_settings settings;
         settings.member = name;
+        if (reads_late)
+            settings.reading.min_interval = std::chrono::hours(1);
         settings.reading.wait = std::chrono::hours(1);
+        settings.reading.max_confirmation = std::chrono::hours(1);
         settings.reading.retry = {std::chrono::milliseconds(0),
                                   std::chrono::milliseconds(0)};
         settings.writing.retry = settings.reading.retry;
@@ -189,6 +207,8 @@
     void submit_job();
     void finish_item();
     void cancel_job();
+    void read_state();
+    void read_results();
     void reassign_job();
     void request_call();
     void report_call();
--- a/test/batch/test_explorer.cpp
+++ b/test/batch/test_explorer.cpp
@@ -9,9 +9,10 @@
 
 BOOST_AUTO_TEST_SUITE(batch_explorer)
 
-// Guards against violations of the guarantees on jobs and on calls that run at
-// most once, under any order of lost, late, refused and repeated calls to the
-// store and of killed processes. TANAGERTRACK_SEED=N replays one seed.
+// Guards against violations of the guarantees on jobs, on reads of jobs and on
+// calls that run at most once, under any order of lost, late, refused and
+// repeated calls to the store and of killed processes. TANAGERTRACK_SEED=N
+// replays one seed.
 BOOST_AUTO_TEST_CASE(guarantees_hold_under_random_faults_for_all_seeds)
 {
     constexpr std::uint64_t seeds = 2500;
@@ -32,6 +33,7 @@
         sum.repeated_calls += explorer.coverage.repeated_calls;
         sum.unknown_outcomes += explorer.coverage.unknown_outcomes;
         sum.expiries += explorer.coverage.expiries;
+        sum.reads += explorer.coverage.reads;
     }
     if (replayed_seed != nullptr)
         return;
@@ -42,13 +44,15 @@
         "accepted " << sum.accepted << ", results " << sum.results
                     << ", reassigned " << sum.reassigned << ", repeated calls "
                     << sum.repeated_calls << ", unknown outcomes "
-                    << sum.unknown_outcomes << ", expiries " << sum.expiries);
+                    << sum.unknown_outcomes << ", expiries " << sum.expiries
+                    << ", reads " << sum.reads);
     BOOST_TEST(sum.accepted > seeds);
     BOOST_TEST(sum.results > seeds);
     BOOST_TEST(sum.reassigned > seeds / 10);
     BOOST_TEST(sum.repeated_calls > seeds / 10);
     BOOST_TEST(sum.unknown_outcomes > seeds / 10);
     BOOST_TEST(sum.expiries > seeds / 10);
+    BOOST_TEST(sum.reads > seeds);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/batch/test_record_mover.cpp
+++ b/test/batch/test_record_mover.cpp
@@ -76,7 +76,7 @@
     BOOST_REQUIRE(late.until([&] { return late.jobs.is_current(); }));
     BOOST_REQUIRE(late.job("j") != nullptr);
     std::optional<batch::results_page> page;
-    late.results.read("j", 0, 1000000, 0ms,
+    late.results.read("j", 0, 1000000, 0ms, common::clock::now(),
                       [&](const batch::results_page& it) { page = it; });
     BOOST_REQUIRE(late.until([&] { return page.has_value(); }));
     BOOST_TEST(!page->ec);
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -33,7 +33,7 @@
     {
         std::vector<batch::job_result> out;
         bool handler_ran = false;
-        process.results.read(job, 0, 1024UL * 1024, 0ms,
+        process.results.read(job, 0, 1024UL * 1024, 0ms, common::clock::now(),
                              [&](const batch::results_page& it)
                              {
                                  BOOST_TEST(!it.ec);
--- a/test/integration/test_jobs.cpp
+++ b/test/integration/test_jobs.cpp
@@ -137,6 +137,33 @@
     check_results(it.results(2, id), items, tokens);
 }
 
+// Guards against a caller that is told of a state by one entry and gets an
+// older one from another: entries that rarely read the log by themselves are
+// behind.
+BOOST_AUTO_TEST_CASE(state_told_by_one_entry_holds_at_another_that_is_behind)
+{
+    fleet it({.entry_settings = "store:\n  jobs_interval_ms: 20000\n"});
+    const auto id = it.submit(1, "behind", job_lines(items, tokens));
+    for (const int entry : {2, 1, 2})
+    {
+        BOOST_TEST(it.wait_for_job(entry, id, "completed", 60s));
+        const int other = 3 - entry;
+        BOOST_TEST(it.finished_items(other, id) == items);
+        check_results(it.results(other, id), items, tokens);
+    }
+    const auto list =
+        it.call(2, {.method = "GET", .target = "/v1/batches"}).body;
+    BOOST_TEST(list.find(id) != std::string::npos);
+    BOOST_TEST(list.find("\"completed\"") != std::string::npos);
+
+    const auto cancelled = it.submit(1, "cancelled", job_lines(items, tokens));
+    const auto answer =
+        it.call(2, {.method = "POST",
+                    .target = "/v1/batches/" + cancelled + "/cancel"});
+    BOOST_TEST(answer.status < 300);
+    BOOST_TEST(it.job(1, cancelled).at("status") != "in_progress");
+}
+
 // Guards against items that start after the cancellation of their job was
 // confirmed.
 BOOST_AUTO_TEST_CASE(cancelled_job_starts_no_more_items)
--- a/test/state/test_job_table.cpp
+++ b/test/state/test_job_table.cpp
@@ -1,3 +1,4 @@
+#include "state/job_checkpoint.hpp"
 #include "state/job_table.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -248,6 +249,30 @@
     BOOST_TEST(table->find("j")->results.size() == 2);
 }
 
+// Guards against a cancelled job whose counts change after a caller was told of
+// them, also at a process that starts from a checkpoint.
+BOOST_AUTO_TEST_CASE(ends_after_a_cancellation_do_not_count)
+{
+    add_job("j", {10, 20});
+    BOOST_TEST(table->find("j")->counted_results() == 0);
+    end_item("j", 0, 1);
+    BOOST_TEST(table->find("j")->counted_results() == 1);
+    cancel_job("j");
+    end_item("j", 1, 2);
+    cancel_job("j");
+    BOOST_TEST(table->find("j")->counted_results() == 1);
+
+    state::checkpoint_reader reader;
+    for (const auto& it : state::make_checkpoint(*table, 9, "c", 1))
+        reader.add_part(it.checkpoint());
+    BOOST_REQUIRE(reader.newest().has_value());
+    state::job_table loaded{state::job_table_hooks()};
+    load_checkpoint(loaded, *reader.newest());
+    BOOST_REQUIRE(loaded.find("j") != nullptr);
+    BOOST_TEST(loaded.find("j")->results.size() == 2);
+    BOOST_TEST(loaded.find("j")->counted_results() == 1);
+}
+
 // Guards against a result whose position changes, or whose text is replaced,
 // after a caller has read it.
 BOOST_AUTO_TEST_CASE(later_ends_of_an_item_are_ignored)
--- a/test/store/test_partition_follower.cpp
+++ b/test/store/test_partition_follower.cpp
@@ -43,6 +43,7 @@
         };
         store::follower_settings settings;
         settings.wait = 20ms;
+        settings.max_confirmation = 50ms;
         settings.retry = {1ms, 2ms};
         follower = std::make_shared<store::partition_follower>(
             context, fake.service(), store::partition_ref{"t", 0}, settings,
@@ -121,7 +122,7 @@
     BOOST_TEST(run_until(context, [&] { return fake.reads >= 1; }));
     fake.model.append({"t", 0, {"a", "b"}, {}, {}, 0, 0}, common::clock::now());
     bool confirmed = false;
-    follower->confirm(0ms,
+    follower->confirm(common::clock::now(),
                       [&](std::error_code ec)
                       {
                           BOOST_TEST(!ec);
@@ -141,11 +142,97 @@
                          { return follower->current_as_of().has_value(); }));
     const auto reads = fake.reads;
     bool confirmed = false;
-    follower->confirm(10s, [&](std::error_code ec) { confirmed = !ec; });
+    follower->confirm(*follower->current_as_of(),
+                      [&](std::error_code ec) { confirmed = !ec; });
     BOOST_TEST(confirmed);
     BOOST_TEST(fake.reads == reads);
 }
 
+// Guards against calls to the store that grow with the number of readers: one
+// read serves all confirmations that were asked for before it started.
+BOOST_AUTO_TEST_CASE(concurrent_confirmations_share_one_read)
+{
+    constexpr int readers = 100;
+    follower->start(0);
+    BOOST_TEST(run_until(context, [&]
+                         { return follower->current_as_of().has_value(); }));
+    const auto reads = fake.reads;
+    int confirmed = 0;
+    for (int n = 0; n < readers; ++n)
+        follower->confirm(common::clock::now(),
+                          [&](std::error_code ec) { confirmed += ec ? 0 : 1; });
+    BOOST_TEST(run_until(context, [&] { return confirmed == readers; }));
+
+    // The first confirmation starts a read; the next read serves the others.
+    // A regular read may end in between.
+    BOOST_TEST(fake.reads - reads <= 3);
+}
+
+// Guards against a confirmation that is ended by a read that started before it:
+// records appended in between would be missing.
+BOOST_AUTO_TEST_CASE(confirmation_is_not_served_by_a_read_that_began_before_it)
+{
+    follower->start(0);
+    BOOST_TEST(run_until(context, [&]
+                         { return follower->current_as_of().has_value(); }));
+    bool first_confirmed = false;
+    follower->confirm(common::clock::now(),
+                      [&](std::error_code) { first_confirmed = true; });
+
+    // The model changes without waking reads, as if the answer to the first
+    // read were already on its way.
+    fake.model.append({"t", 0, {"a"}, {}, {}, 0, 0}, common::clock::now());
+    bool confirmed = false;
+    follower->confirm(common::clock::now(),
+                      [&](std::error_code ec)
+                      {
+                          BOOST_TEST(!ec);
+                          BOOST_TEST(records.size() == 1);
+                          confirmed = true;
+                      });
+    BOOST_TEST(run_until(context, [&] { return confirmed; }));
+    BOOST_TEST(first_confirmed);
+}
+
+// Guards against a reader that waits without end for a store that accepts calls
+// and doesn't answer them, or that answers but never lets the reader catch up.
+BOOST_AUTO_TEST_CASE(confirmation_fails_in_time_while_the_store_is_silent)
+{
+    follower->start(0);
+    BOOST_TEST(run_until(context, [&]
+                         { return follower->current_as_of().has_value(); }));
+    fake.read_outcome = []
+    {
+        return call_outcome::silent;
+    };
+    std::vector<std::error_code> outcomes;
+    for (int n = 0; n < 2; ++n)
+        follower->confirm(common::clock::now(),
+                          [&](std::error_code ec) { outcomes.push_back(ec); });
+    BOOST_TEST(run_until(context, [&] { return outcomes.size() == 2; }));
+    for (const auto& ec : outcomes)
+        BOOST_TEST((ec == common::result_code::log_unavailable));
+
+    // The answers of the silent time come late and change nothing; the next
+    // confirmation succeeds.
+    fake.read_outcome = []
+    {
+        return call_outcome::done;
+    };
+    append("a");
+    fake.answer_silent_reads();
+    bool confirmed = false;
+    follower->confirm(common::clock::now(),
+                      [&](std::error_code ec)
+                      {
+                          BOOST_TEST(!ec);
+                          BOOST_TEST(records.size() == 1);
+                          confirmed = true;
+                      });
+    BOOST_TEST(run_until(context, [&] { return confirmed; }));
+    BOOST_TEST(outcomes.size() == 2);
+}
+
 // Guards against a confirmation that succeeds while the store is unreachable: a
 // caller would get 404 for a job whose records were not read yet.
 BOOST_AUTO_TEST_CASE(confirmation_fails_while_the_store_is_unreachable)
@@ -156,7 +243,8 @@
         return call_outcome::refused;
     };
     std::error_code result;
-    follower->confirm(0ms, [&](std::error_code ec) { result = ec; });
+    follower->confirm(common::clock::now(),
+                      [&](std::error_code ec) { result = ec; });
     BOOST_TEST(run_until(context, [&] { return !!result; }));
     BOOST_TEST(run_until(context, [&] { return !reachable.empty(); }));
     BOOST_TEST(!follower->reachable());
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -35,7 +35,10 @@
 
     /// Append that is carried out by run_late() or run_one_late(); the caller
     /// gets `log_append_unknown`.
-    late
+    late,
+
+    /// Read that is answered by answer_silent_reads() only.
+    silent
 };
 
 /// In-process store for tests: a store_model behind the interface of the store
@@ -51,7 +54,8 @@
     }
 
     /// Hooks that decide the outcome of each append and of each other call. For
-    /// the other calls, each outcome except `done` counts as `refused`.
+    /// the other calls, each outcome except `done`, and `silent` for reads of a
+    /// log, counts as `refused`.
     std::function<call_outcome()> append_outcome = []
     {
         return call_outcome::done;
@@ -95,6 +99,13 @@
         return true;
     }
 
+    /// Carries out and answers the reads with the outcome `silent`.
+    void answer_silent_reads()
+    {
+        for (auto& it : std::exchange(silent_reads_, {}))
+            it();
+    }
+
     /// Repeats the reads that wait for records; called after each change of the
     /// model.
     void wake()
@@ -218,7 +229,14 @@
     {
         ++reads;
         store::read_result result;
-        if (read_outcome() != call_outcome::done)
+        const auto outcome = read_outcome();
+        if (outcome == call_outcome::silent)
+        {
+            silent_reads_.push_back([this, call, done = std::move(done)]
+                                    { read(call, done); });
+            return;
+        }
+        if (outcome != call_outcome::done)
         {
             result.ec = make_error_code(common::result_code::log_unavailable);
             return post_answer([done = std::move(done), result]
@@ -320,6 +338,7 @@
 
     /// Reads that wait for records.
     std::vector<std::function<void()>> waiting_;
+    std::vector<std::function<void()>> silent_reads_;
 };
 
 } // namespace tanagertrack::test
