Let entries that start together read the store at its own rate

Cause: after the loss of power of all hosts, 164 entries of the large site each asked the store for 1 MB of the log of jobs and for the configuration of 1,952 routes. Ruled out: a lost store (joins were answered), expired records (none). Result: many_followers_that_start_at_once_all_catch_up fails with reads of a fixed size and passes with the change.

--- a/src/store/partition_follower.cpp
+++ b/src/store/partition_follower.cpp
@@ -23,7 +23,8 @@
     : service_(std::move(service)), partition_(std::move(partition)),
       settings_(settings), hooks_(std::move(hooks)),
       backoff_(settings.retry, common::hash64(common::random_id())),
-      timer_(context), confirmation_timer_(context)
+      timer_(context), read_bytes_(settings.first_bytes),
+      confirmation_timer_(context)
 {
 }
 
@@ -56,10 +57,7 @@
     reading_ = true;
     const auto now = common::clock::now();
     last_read_start_ = now;
-    read_call call;
-    call.from = partition_;
-    call.offset = next_offset_;
-    call.max_bytes = settings_.max_bytes;
+    auto call = make_read();
     // Until the end was reached once, an empty result matters too: it shows
     // that the follower has caught up. So the store must not delay it.
     call.wait = current_as_of_ ? settings_.wait : milliseconds(0);
@@ -68,6 +66,25 @@
                   { self->handle_read(run, now, offset, result); });
 }
 
+read_call partition_follower::make_read() const
+{
+    read_call call;
+    call.from = partition_;
+    call.offset = next_offset_;
+    call.max_bytes = read_bytes_;
+    return call;
+}
+
+void partition_follower::adapt_read_size(common::time_point started,
+                                         const read_result& result)
+{
+    if (result.ec)
+        read_bytes_ = std::max(settings_.min_bytes, read_bytes_ / 2);
+    else if (next_offset_ < result.end &&
+             common::clock::now() - started < settings_.fast_read)
+        read_bytes_ = std::min(settings_.max_bytes, read_bytes_ * 2);
+}
+
 void partition_follower::schedule_read(milliseconds delay)
 {
     timer_.expires_after(delay);
@@ -115,7 +132,10 @@
     }
     set_reachable(!result.ec);
     if (result.ec)
+    {
+        adapt_read_size(started, result);
         return true;
+    }
 
     // A confirmation read may overlap with a regular read: skip the records
     // that the other one has delivered already.
@@ -130,6 +150,7 @@
         hooks_.on_records(first, new_records);
     if (run != run_)
         return false;
+    adapt_read_size(started, result);
     if (next_offset_ < result.end)
         return true;
     const bool caught_up = !current_as_of_.has_value();
@@ -170,12 +191,8 @@
     if (confirming_ || confirmations_.empty())
         return;
     confirming_ = true;
-    read_call call;
-    call.from = partition_;
-    call.offset = next_offset_;
-    call.max_bytes = settings_.max_bytes;
     service_.read(
-        call,
+        make_read(),
         [self = shared_from_this(), run = run_, now = common::clock::now(),
          offset = next_offset_](const read_result& result)
         { self->handle_confirmation_read(run, now, offset, result); });
--- a/src/store/partition_follower.hpp
+++ b/src/store/partition_follower.hpp
@@ -32,7 +32,16 @@
     /// Minimum time between the starts of two reads; limits the rate of calls
     /// to the store.
     std::chrono::milliseconds min_interval{0};
+
+    /// Bytes that one read may return. A reader starts with `first_bytes` and
+    /// doubles them while it is behind and reads end within `fast_read`; a
+    /// failed read halves them. When many processes start at once, each then
+    /// gets records at the rate that the store has for it, whereas large reads
+    /// would all time out.
+    std::size_t first_bytes = 128UL * 1024;
+    std::size_t min_bytes = 32UL * 1024;
     std::size_t max_bytes = 1024UL * 1024;
+    std::chrono::milliseconds fast_read{200};
 
     /// Maximum time from a call of `confirm` to its result.
     std::chrono::milliseconds max_confirmation{1000};
@@ -125,6 +134,12 @@
     bool apply_read(common::time_point started, std::uint64_t offset,
                     const read_result& result);
     void set_reachable(bool reachable);
+
+    /// Returns a call that reads from the next offset on, without waiting.
+    read_call make_read() const;
+
+    /// Adapts the size of reads to the result of one that began at `started`.
+    void adapt_read_size(common::time_point started, const read_result& result);
     void start_confirmation();
     void handle_confirmation_read(std::uint64_t run, common::time_point started,
                                   std::uint64_t offset,
@@ -151,6 +166,9 @@
     common::backoff backoff_;
     boost::asio::steady_timer timer_;
     std::uint64_t next_offset_ = 0;
+
+    /// Bytes that the next read may return.
+    std::size_t read_bytes_;
     bool reachable_ = true;
     bool running_ = false;
 
--- a/test/platform/test_store_client.cpp
+++ b/test/platform/test_store_client.cpp
@@ -1,4 +1,5 @@
 #include "common/metrics.hpp"
+#include "common/periodic_timer.hpp"
 #include "common/result_code.hpp"
 #include "platform/store_client.hpp"
 #include "support/event_loop.hpp"
@@ -25,6 +26,8 @@
         platform::store_client_settings settings;
         settings.address = server.address();
         settings.call_timeout = 80ms;
+        settings.max_call_time = 400ms;
+        settings.max_response_bytes = 64UL * 1024;
         settings.connect_timeout = 50ms;
         client = platform::make_store_client(context, settings, metrics);
     }
@@ -194,6 +197,89 @@
     BOOST_TEST(run_until(context, [&] { return completed; }));
 }
 
+// Guards against a busy store whose answers are given up while they arrive.
+BOOST_AUTO_TEST_CASE(slow_answer_that_keeps_arriving_is_received)
+{
+    const auto answer =
+        whole_answer(200, records_body(6, 0, {std::string(1000, 'r')}));
+    server.make_answer = [](const std::string&)
+    {
+        return scripted_answer{};
+    };
+    std::optional<store::read_result> result;
+    client.read({{"t", 3}, 5, 2048, 0ms},
+                [&result](const store::read_result& it) { result = it; });
+    BOOST_REQUIRE(run_until(context, [&] { return !server.requests.empty(); }));
+
+    // Four pieces, 50 ms apart: longer than the time-out of 80 ms in all.
+    constexpr std::size_t pieces = 4;
+    for (std::size_t n = 0; n < pieces; ++n)
+    {
+        run_for(context, 50ms);
+        const auto begin = answer.size() * n / pieces;
+        const auto end = answer.size() * (n + 1) / pieces;
+        server.send_all(answer.substr(begin, end - begin));
+    }
+    BOOST_REQUIRE(run_until(context, [&] { return result.has_value(); }));
+    BOOST_TEST(!result->ec);
+    BOOST_TEST(result->records.size() == 1);
+}
+
+// Guards against a call that never ends because a byte arrives now and then.
+BOOST_AUTO_TEST_CASE(answer_that_trickles_is_given_up_at_the_maximum_call_time)
+{
+    server.add("HTTP/1.1 200 X\r\nContent-Length: 1000\r\n\r\n");
+    std::optional<store::read_result> result;
+    client.read({{"t", 3}, 5, 2048, 0ms},
+                [&result](const store::read_result& it) { result = it; });
+    common::periodic_timer trickle(context, 20ms,
+                                   [&] { server.send_all("x"); });
+    trickle.start();
+    BOOST_REQUIRE(run_until(context, [&] { return result.has_value(); }));
+    BOOST_TEST((result->ec == result_code::log_unavailable));
+}
+
+// Guards against memory that grows with a body without end.
+BOOST_AUTO_TEST_CASE(connection_of_an_answer_without_end_is_closed)
+{
+    const std::string piece(16UL * 1024, 'x');
+    server.make_answer = [&](const std::string&)
+    {
+        std::string bytes = "HTTP/1.1 200 X\r\n\r\n";
+        for (int n = 0; n < 8; ++n)
+            bytes += piece;
+        return scripted_answer{bytes};
+    };
+    BOOST_TEST((read().ec == result_code::log_unavailable));
+    BOOST_TEST(run_until(context, [&] { return server.closed == 1; }));
+}
+
+// Guards against many readers that all give up their reads of a busy store at
+// the same time-out, again and again.
+BOOST_AUTO_TEST_CASE(read_after_one_that_timed_out_gets_more_time)
+{
+    server.make_answer = [](const std::string&)
+    {
+        return scripted_answer{};
+    };
+    BOOST_TEST((read().ec == result_code::log_unavailable));
+    std::optional<store::read_result> result;
+    client.read({{"t", 3}, 5, 2048, 0ms},
+                [&result](const store::read_result& it) { result = it; });
+    run_for(context, 120ms);
+    BOOST_TEST(!result.has_value());
+    server.send_all(whole_answer(200, records_body(6, 0, {"x"})));
+    BOOST_REQUIRE(run_until(context, [&] { return result.has_value(); }));
+    BOOST_TEST(!result->ec);
+
+    // A read of another topic has the usual time.
+    std::optional<store::read_result> other;
+    client.read({{"u", 0}, 0, 2048, 0ms},
+                [&other](const store::read_result& it) { other = it; });
+    run_for(context, 120ms);
+    BOOST_TEST(other.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(all_pages_of_a_keyed_topic_are_read)
 {
     server.add(
--- a/test/store/test_partition_follower.cpp
+++ b/test/store/test_partition_follower.cpp
@@ -1,3 +1,4 @@
+#include "common/periodic_timer.hpp"
 #include "store/keyed_follower.hpp"
 #include "store/partition_follower.hpp"
 #include "support/event_loop.hpp"
@@ -275,6 +276,129 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(follower_herd)
+
+namespace
+{
+
+/// Puts a store behind a link that all readers share in equal parts. A read
+/// that has not ended after `timeout` fails.
+class shared_link
+{
+public:
+    explicit shared_link(boost::asio::io_context& context)
+        : timer_(context, step, [this] { carry(); })
+    {
+        timer_.start();
+    }
+
+    store::store_service service(test::fake_store& fake)
+    {
+        auto out = fake.service();
+        out.read =
+            [this, read = out.read](const store::read_call& call, auto done)
+        {
+            read(call,
+                 [this, done](const store::read_result& result)
+                 {
+                     std::size_t bytes = 0;
+                     for (const auto& it : result.records)
+                         bytes += it.size();
+                     transfers_.push_back({result, static_cast<double>(bytes),
+                                           common::clock::now() + timeout,
+                                           done});
+                 });
+        };
+        return out;
+    }
+
+private:
+    struct transfer
+    {
+        store::read_result result;
+        double bytes_left = 0;
+        common::time_point deadline;
+        std::function<void(store::read_result)> done;
+    };
+
+    void carry()
+    {
+        const auto now = common::clock::now();
+        const std::chrono::duration<double, std::milli> elapsed = now - last_;
+        last_ = now;
+        if (transfers_.empty())
+            return;
+        const auto share = bytes_per_ms * elapsed.count() /
+                           static_cast<double>(transfers_.size());
+        for (auto& it : std::exchange(transfers_, {}))
+        {
+            it.bytes_left -= share;
+            if (it.bytes_left <= 0)
+                it.done(it.result);
+            else if (now < it.deadline)
+                transfers_.push_back(std::move(it));
+            else
+                it.done(
+                    {make_error_code(common::result_code::log_unavailable)});
+        }
+    }
+
+    static constexpr double bytes_per_ms = 200'000;
+    static constexpr auto timeout = 150ms;
+    static constexpr auto step = 1ms;
+    common::periodic_timer timer_;
+    common::time_point last_ = common::clock::now();
+    std::vector<transfer> transfers_;
+};
+
+} // namespace
+
+// Guards against readers that start at the same time, as after a loss of power,
+// and never catch up: reads of the maximum size would all time out, each time.
+BOOST_AUTO_TEST_CASE(many_followers_that_start_at_once_all_catch_up)
+{
+    constexpr unsigned readers = 100;
+    constexpr unsigned records = 500;
+    constexpr std::size_t record_bytes = 1024;
+    boost::asio::io_context context;
+    test::fake_store fake{context};
+    shared_link link{context};
+    for (unsigned n = 0; n < records; ++n)
+        fake.model.append(
+            {"t", 0, {std::string(record_bytes, 'x')}, {}, {}, 0, 0},
+            common::clock::now());
+
+    // All records of all readers take 256 ms on the link: reads of all records
+    // at once would need more than their timeout.
+    unsigned caught_up = 0;
+    std::vector<std::shared_ptr<store::partition_follower>> followers;
+    for (unsigned n = 0; n < readers; ++n)
+    {
+        store::follower_hooks hooks;
+        hooks.on_records = [](std::uint64_t, std::span<const std::string>) {
+        };
+        hooks.on_reachable = [](bool) {
+        };
+        hooks.on_caught_up = [&caught_up]
+        {
+            ++caught_up;
+        };
+        store::follower_settings settings;
+        settings.retry = {1ms, 20ms};
+        followers.push_back(std::make_shared<store::partition_follower>(
+            context, link.service(fake), store::partition_ref{"t", 0}, settings,
+            std::move(hooks)));
+        followers.back()->start(0);
+    }
+    BOOST_TEST(run_until(context, [&] { return caught_up == readers; }));
+    for (const auto& it : followers)
+        it->stop();
+    fake.wake();
+    test::run_ready(context);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(keyed_follower)
 
 namespace
