Count only whole events as progress of a stream

Cause: any byte of a response counted as progress. A stalled stream that sent a byte, half an event or a comment now and then was never continued elsewhere and ended at its deadline. Result: stream_that_trickles_without_whole_events_is_moved fails before the change.

--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -79,6 +79,14 @@
 
 } // namespace
 
+bool has_event_data(std::string_view bytes)
+{
+    bool found = false;
+    for_each_line(bytes, [&found](std::string_view line)
+                  { found |= field_value(line, "data").has_value(); });
+    return found;
+}
+
 std::string event_data(std::string_view bytes)
 {
     std::string data;
--- a/src/http/event_splitter.hpp
+++ b/src/http/event_splitter.hpp
@@ -23,6 +23,9 @@
 /// Returns the values of an event's "data" lines, joined by line feeds.
 std::string event_data(std::string_view bytes);
 
+/// Returns true if the event has a "data" line; one of comments has none.
+bool has_event_data(std::string_view bytes);
+
 /// Splits a stream of server-sent events, received in pieces of any size, into
 /// complete events. Not thread-safe.
 class event_splitter
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -118,11 +118,11 @@
 
 void attempt::handle_body(std::string_view piece)
 {
-    last_progress_ = common::clock::now();
     if (not_run_ || ended_)
         return;
     if (!splits_events_)
     {
+        last_progress_ = common::clock::now();
         if (hooks_.on_piece)
             hooks_.on_piece(piece, std::nullopt);
         return;
@@ -143,6 +143,8 @@
                        "event_out_of_order"});
     if (event.id)
         last_event_ = event.id;
+    if (event.id || http::has_event_data(event.bytes))
+        last_progress_ = common::clock::now();
     if (hooks_.on_piece)
         hooks_.on_piece(event.bytes, event.id);
 }
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -144,7 +144,8 @@
     }
 
     /// Time at which the last part of the response was received; at first, the
-    /// time of the start.
+    /// time of the start. Of a stream of events, only the head and whole events
+    /// count, and of these not comments.
     common::time_point last_progress() const
     {
         return last_progress_;
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -1,3 +1,4 @@
+#include "common/periodic_timer.hpp"
 #include "online/request.hpp"
 #include "support/event_loop.hpp"
 #include "support/scripted_server.hpp"
@@ -146,6 +147,33 @@
         route.gap_objective = 100ms;
     }
 
+    /// Runs a stream whose target sends one event and then `piece` now and
+    /// then, and checks that another target continues it.
+    void check_trickling_stream_is_moved(const std::string& piece)
+    {
+        make_stream();
+        const auto head = answers_to("a");
+        auto& first = add_target("t1");
+        first.add(chunked_head(200, head) + chunk(event(1, "a")));
+        add_target("t2").add(chunked_head(200, head) + chunk(event(2, "b")) +
+                             chunk(""));
+        received_answer result;
+        start(result);
+        BOOST_REQUIRE(run_until(context, [&] { return !result.body.empty(); }));
+        common::periodic_timer trickle(context, 10ms,
+                                       [&]
+                                       {
+                                           if (first.closed == 0)
+                                               first.send_all(chunk(piece));
+                                       });
+        trickle.start();
+        BOOST_REQUIRE(run_until(context, [&] { return result.ended(); }));
+        BOOST_TEST(result.complete);
+        BOOST_TEST(first.closed == 1);
+        set.remove("t1");
+        set.remove("t2");
+    }
+
     boost::asio::io_context context;
     std::list<scripted_server> servers;
     targets::target_protocol protocol = make_test_protocol();
@@ -403,6 +431,17 @@
     BOOST_TEST(first.closed == 1);
 }
 
+// Guards against a stalled stream that never ends because a byte arrives now
+// and then: only whole events are progress, and comments are not.
+BOOST_AUTO_TEST_CASE(stream_that_trickles_without_whole_events_is_moved)
+{
+    for (const std::string piece : {":", "data: half", ": comment\n\n"})
+    {
+        BOOST_TEST_CONTEXT("piece " << piece)
+        check_trickling_stream_is_moved(piece);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(non_repeatable_stream_is_aborted_when_the_answer_is_cut)
 {
     make_stream();
