--- a/test/batch/explorer.cpp
+++ b/test/batch/explorer.cpp
@@ -195,7 +195,7 @@
             if (!*alive)
                 return;
             history.accepted |= !result;
-            history.told_accepted |= !result;
+            history.reported_accepted |= !result;
             if (result && result->ran == common::execution::not_run)
                 ++history.refused_not_run;
             if (result && result->ran != common::execution::not_run)
@@ -250,7 +250,7 @@
             if (!*alive || ec)
                 return;
             jobs_[job].cancel_confirmed = true;
-            jobs_[job].told_cancelled = true;
+            jobs_[job].reported_cancelled = true;
         });
 }
 
@@ -268,32 +268,32 @@
             ++coverage.reads;
             if (job == nullptr)
             {
-                if (before.told_accepted)
+                if (before.reported_accepted)
                     report_violation("job " + id +
                                      " is unknown after it was accepted");
                 return;
             }
-            if (job->results.size() < before.told_results)
+            if (job->results.size() < before.reported_results)
                 report_violation("job " + id + " has " +
                                  std::to_string(job->results.size()) +
                                  " results after " +
-                                 std::to_string(before.told_results));
-            if (before.told_cancelled && !job->cancelled)
+                                 std::to_string(before.reported_results));
+            if (before.reported_cancelled && !job->cancelled)
                 report_violation("job " + id +
                                  " is open after it was cancelled");
             const bool final_count_changed =
-                before.told_cancelled_results && job->cancelled &&
-                job->counted_results() != *before.told_cancelled_results;
+                before.reported_final_results && job->cancelled &&
+                job->counted_results() != *before.reported_final_results;
             if (final_count_changed)
                 report_violation("the counted results of job " + id +
                                  " changed after its cancellation");
             auto& history = jobs_[id];
-            history.told_accepted = true;
-            history.told_cancelled |= job->cancelled;
+            history.reported_accepted = true;
+            history.reported_cancelled |= job->cancelled;
             if (job->cancelled)
-                history.told_cancelled_results = job->counted_results();
-            history.told_results =
-                std::max(history.told_results, job->results.size());
+                history.reported_final_results = job->counted_results();
+            history.reported_results =
+                std::max(history.reported_results, job->results.size());
         });
 }
 
@@ -302,7 +302,7 @@
     auto& process = random_process();
     const auto id = "j" + std::to_string(random_below(job_count));
     const auto before = jobs_[id];
-    const auto after = random_below(before.told_results + 1);
+    const auto after = random_below(before.reported_results + 1);
     process.results.read(
         id, after, SIZE_MAX, std::chrono::milliseconds(0), common::clock::now(),
         [this, id, before, after,
@@ -311,13 +311,14 @@
             if (!*alive || page.ec)
                 return;
             ++coverage.reads;
-            if (page.results.empty() && after < before.told_results)
+            if (page.results.empty() && after < before.reported_results)
                 report_violation(
                     "no result at position " + std::to_string(after) +
                     " of job " + id + " after " +
-                    std::to_string(before.told_results) + " were reported");
+                    std::to_string(before.reported_results) + " were reported");
             auto& history = jobs_[id];
-            history.told_results = std::max(history.told_results, page.next);
+            history.reported_results =
+                std::max(history.reported_results, page.next);
         });
 }
 
--- a/test/batch/explorer.hpp
+++ b/test/batch/explorer.hpp
@@ -38,14 +38,14 @@
     bool accepted = false;
     bool cancel_confirmed = false;
 
-    /// State of the job as told to callers by any process: later reads must not
-    /// fall behind it.
-    bool told_accepted = false;
-    bool told_cancelled = false;
-    std::size_t told_results = 0;
-
-    /// Results that counted in the first state that was told as cancelled.
-    std::optional<std::size_t> told_cancelled_results;
+    /// State of the job as reported to callers by any process: later reads must
+    /// not fall behind it.
+    bool reported_accepted = false;
+    bool reported_cancelled = false;
+    std::size_t reported_results = 0;
+
+    /// Results that counted in the first state that was reported as cancelled.
+    std::optional<std::size_t> reported_final_results;
 };
 
 /// What callers have observed of a call that runs at most once.
--- a/test/integration/test_jobs.cpp
+++ b/test/integration/test_jobs.cpp
@@ -140,7 +140,8 @@
 // Guards against a caller that is told of a state by one entry and gets an
 // older one from another: entries that rarely read the log by themselves are
 // behind.
-BOOST_AUTO_TEST_CASE(state_told_by_one_entry_holds_at_another_that_is_behind)
+BOOST_AUTO_TEST_CASE(
+    state_reported_by_one_entry_holds_at_another_that_is_behind)
 {
     fleet it({.entry_settings = "store:\n  jobs_interval_ms: 20000\n"});
     const auto id = it.submit(1, "behind", job_lines(items, tokens));
