--- a/src/api/batch_api.cpp
+++ b/src/api/batch_api.cpp
@@ -177,10 +177,11 @@
 
 void batch_api::find_job(
     const caller_request& request, const std::string& job_id,
+    common::time_point as_of,
     std::function<void(const state::batch_job&)> on_found) const
 {
     core_.results().find_current(
-        job_id, common::clock::now(),
+        job_id, as_of,
         [request, on_found = std::move(on_found)](std::error_code ec,
                                                   const state::batch_job* job)
         {
@@ -226,7 +227,7 @@
 void batch_api::show(const caller_request& request,
                      const std::string& job_id) const
 {
-    find_job(request, job_id,
+    find_job(request, job_id, common::clock::now(),
              [request](const state::batch_job& job)
              { respond(request, make_job_json(job) + '\n'); });
 }
@@ -234,18 +235,19 @@
 void batch_api::stream_results(const caller_request& request,
                                const std::string& job_id)
 {
-    find_job(request, job_id,
-             [this, request](const state::batch_job& job)
+    const auto now = common::clock::now();
+    find_job(request, job_id, now,
+             [this, request, now](const state::batch_job& job)
              {
                  const boost::intrusive_ptr<result_stream> stream(
-                     new result_stream(core_, request, job.id));
+                     new result_stream(core_, request, job.id, now));
                  stream->start();
              });
 }
 
 void batch_api::cancel(const caller_request& request, const std::string& job_id)
 {
-    find_job(request, job_id,
+    find_job(request, job_id, common::clock::now(),
              [this, request](const state::batch_job& job)
              {
                  if (!job.is_open())
--- a/src/api/batch_api.hpp
+++ b/src/api/batch_api.hpp
@@ -41,9 +41,11 @@
                        common::time_point submitted) const;
 
     /// Looks up a job of the request's team and calls `on_found` with its
-    /// current state. Refuses the request if the team has no such job, or if
-    /// the store can't be read.
+    /// state, which includes all records that were appended before `as_of`.
+    /// Refuses the request if the team has no such job, or if the store can't
+    /// be read.
     void find_job(const caller_request& request, const std::string& job_id,
+                  common::time_point as_of,
                   std::function<void(const state::batch_job&)> on_found) const;
 
     /// Returns the JSON list of a team's jobs, serialized.
--- a/src/api/result_stream.cpp
+++ b/src/api/result_stream.cpp
@@ -99,8 +99,9 @@
 } // namespace
 
 result_stream::result_stream(entry::entry_core& core, caller_request request,
-                             std::string job_id)
-    : core_(core), request_(std::move(request)), job_id_(std::move(job_id))
+                             std::string job_id, common::time_point as_of)
+    : core_(core), request_(std::move(request)), job_id_(std::move(job_id)),
+      as_of_(as_of)
 {
 }
 
--- a/src/api/result_stream.hpp
+++ b/src/api/result_stream.hpp
@@ -24,8 +24,9 @@
                                           boost::thread_unsafe_counter>
 {
 public:
+    /// All results recorded before `as_of` are sent.
     result_stream(entry::entry_core& core, caller_request request,
-                  std::string job_id);
+                  std::string job_id, common::time_point as_of);
 
     result_stream(const result_stream&) = delete;
     result_stream& operator=(const result_stream&) = delete;
@@ -55,8 +56,7 @@
     caller_request request_;
     std::string job_id_;
 
-    /// Time of the request: all results recorded before it are sent.
-    common::time_point as_of_ = common::clock::now();
+    common::time_point as_of_;
 
     /// Position of the next result to read.
     std::size_t next_result_ = 0;
--- a/src/api/ticket_log.cpp
+++ b/src/api/ticket_log.cpp
@@ -188,16 +188,16 @@
     record.set_writer(settings_.writer);
     record.set_sequence(pending->sequence);
     *record.mutable_ticket() = ticket;
-    pending->record_append = writer_->append(
-        {record.SerializeAsString()}, false,
-        [this, pending](std::error_code ec, std::uint64_t)
-        {
-            if (ec && pending->done)
-                return finish(pending, {ec, {}});
+    pending->record_append =
+        writer_->append({record.SerializeAsString()}, false,
+                        [this, pending](std::error_code ec, std::uint64_t)
+                        {
+                            if (ec && pending->done)
+                                return finish(pending, {ec, {}});
 
-            // Read the record back without delay.
-            follower_->confirm(common::clock::now(), [](std::error_code) {});
-        });
+                            // Read the record back without delay.
+                            follower_->read_soon();
+                        });
 }
 
 void ticket_log::handle_timeout(const pending_ptr& pending)
--- a/src/batch/job_log.hpp
+++ b/src/batch/job_log.hpp
@@ -124,10 +124,10 @@
     void confirm(common::time_point time,
                  std::function<void(std::error_code)> handler);
 
-    /// Reads the records that were appended up to now without delay.
+    /// See `partition_follower::read_soon`.
     void read_soon()
     {
-        follower_->confirm(common::clock::now(), [](std::error_code) {});
+        follower_->read_soon();
     }
 
     /// Reads the record at an offset from the store. Error `log_unavailable` if
--- a/src/store/partition_follower.cpp
+++ b/src/store/partition_follower.cpp
@@ -255,8 +255,7 @@
 
 void partition_follower::read_soon()
 {
-    if (running_ && !reading_)
-        read_next();
+    confirm(common::clock::now(), [](std::error_code) {});
 }
 
 } // namespace tanagertrack::store
--- a/src/store/partition_follower.hpp
+++ b/src/store/partition_follower.hpp
@@ -120,7 +120,7 @@
     void confirm(common::time_point time,
                  std::function<void(std::error_code)> handler);
 
-    /// Starts the next read without waiting for `min_interval` to pass.
+    /// Reads the records that were appended up to now without delay.
     void read_soon();
 
 private:
--- a/test/store/test_partition_follower.cpp
+++ b/test/store/test_partition_follower.cpp
@@ -64,6 +64,28 @@
         fake.wake();
     }
 
+    void start_and_catch_up()
+    {
+        follower->start(0);
+        BOOST_TEST(run_until(
+            context, [&] { return follower->current_as_of().has_value(); }));
+    }
+
+    /// Confirms the log as of now, and checks that the confirmation succeeds
+    /// with `n` records delivered.
+    void confirm_records(std::size_t n)
+    {
+        bool confirmed = false;
+        follower->confirm(common::clock::now(),
+                          [&](std::error_code ec)
+                          {
+                              BOOST_TEST(!ec);
+                              BOOST_TEST(records.size() == n);
+                              confirmed = true;
+                          });
+        BOOST_TEST(run_until(context, [&] { return confirmed; }));
+    }
+
     boost::asio::io_context context;
     test::fake_store fake{context};
     std::shared_ptr<store::partition_follower> follower;
@@ -122,15 +144,7 @@
     follower->start(0);
     BOOST_TEST(run_until(context, [&] { return fake.reads >= 1; }));
     fake.model.append({"t", 0, {"a", "b"}, {}, {}, 0, 0}, common::clock::now());
-    bool confirmed = false;
-    follower->confirm(common::clock::now(),
-                      [&](std::error_code ec)
-                      {
-                          BOOST_TEST(!ec);
-                          BOOST_TEST(records.size() == 2);
-                          confirmed = true;
-                      });
-    BOOST_TEST(run_until(context, [&] { return confirmed; }));
+    confirm_records(2);
     fake.wake();
     test::run_ready(context);
     BOOST_TEST(records.size() == 2);
@@ -138,9 +152,7 @@
 
 BOOST_AUTO_TEST_CASE(confirmation_needs_no_read_when_the_view_is_recent)
 {
-    follower->start(0);
-    BOOST_TEST(run_until(context, [&]
-                         { return follower->current_as_of().has_value(); }));
+    start_and_catch_up();
     const auto reads = fake.reads;
     bool confirmed = false;
     follower->confirm(*follower->current_as_of(),
@@ -154,9 +166,7 @@
 BOOST_AUTO_TEST_CASE(concurrent_confirmations_share_one_read)
 {
     constexpr int readers = 100;
-    follower->start(0);
-    BOOST_TEST(run_until(context, [&]
-                         { return follower->current_as_of().has_value(); }));
+    start_and_catch_up();
     const auto reads = fake.reads;
     int confirmed = 0;
     for (int n = 0; n < readers; ++n)
@@ -173,9 +183,7 @@
 // records appended in between would be missing.
 BOOST_AUTO_TEST_CASE(confirmation_is_not_served_by_a_read_that_began_before_it)
 {
-    follower->start(0);
-    BOOST_TEST(run_until(context, [&]
-                         { return follower->current_as_of().has_value(); }));
+    start_and_catch_up();
     bool first_confirmed = false;
     follower->confirm(common::clock::now(),
                       [&](std::error_code) { first_confirmed = true; });
@@ -183,15 +191,7 @@
     // The model changes without waking reads, as if the answer to the first
     // read were already on its way.
     fake.model.append({"t", 0, {"a"}, {}, {}, 0, 0}, common::clock::now());
-    bool confirmed = false;
-    follower->confirm(common::clock::now(),
-                      [&](std::error_code ec)
-                      {
-                          BOOST_TEST(!ec);
-                          BOOST_TEST(records.size() == 1);
-                          confirmed = true;
-                      });
-    BOOST_TEST(run_until(context, [&] { return confirmed; }));
+    confirm_records(1);
     BOOST_TEST(first_confirmed);
 }
 
@@ -199,9 +199,7 @@
 // and doesn't answer them, or that answers but never lets the reader catch up.
 BOOST_AUTO_TEST_CASE(confirmation_fails_in_time_while_the_store_is_silent)
 {
-    follower->start(0);
-    BOOST_TEST(run_until(context, [&]
-                         { return follower->current_as_of().has_value(); }));
+    start_and_catch_up();
     fake.read_outcome = []
     {
         return call_outcome::silent;
@@ -222,15 +220,7 @@
     };
     append("a");
     fake.answer_silent_reads();
-    bool confirmed = false;
-    follower->confirm(common::clock::now(),
-                      [&](std::error_code ec)
-                      {
-                          BOOST_TEST(!ec);
-                          BOOST_TEST(records.size() == 1);
-                          confirmed = true;
-                      });
-    BOOST_TEST(run_until(context, [&] { return confirmed; }));
+    confirm_records(1);
     BOOST_TEST(outcomes.size() == 2);
 }
 
