Name the shared parts of prompts in the logs and count results of attempts

Change: the target protocol reads the parts of a prompt from the header fields; request_sent and item_sent list the shared ones as hashes. Each attempt reports how far its answer came to a hook of the process, which counts it in tanagertrack_attempts_total{work,result}. The batch runner ends a silent attempt by the same function as an online request, so that it is counted once. No decision has changed.

--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -465,6 +465,7 @@
                      {{"job", item->job},
                       {"item", item->data.id()},
                       {"target", target->id()},
+                      {"parts", routing::list_shared_parts(request.prompt)},
                       {"after_event", item->last_event.value_or(0)},
                       {"attempt", item->attempts},
                       {"online", target->load.online()},
@@ -607,8 +608,7 @@
         if (now - it->attempt->last_progress() < timeout)
             continue;
         it->avoided_target = it->attempt->destination()->id();
-        it->attempt->destination()->record_failure(
-            routing::target_failure::unanswered);
+        it->attempt->cancel_silent();
         if (it->is_preemptible())
         {
             interrupt_item(it, "silent");
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -119,11 +119,7 @@
       parts_(std::move(parts)),
       targets_(context,
                {settings.data_centre, settings.region, settings.regions},
-               [this]
-               {
-                   load_exchange_.handle_load_change();
-                   runner_.schedule_start();
-               }),
+               make_target_hooks()),
       directory_(make_directory_hooks()), random_(make_random()),
       placement_(placement_settings(settings), random_),
       online_{context,
@@ -194,6 +190,28 @@
     return hooks;
 }
 
+targets::target_hooks entry_core::make_target_hooks()
+{
+    targets::target_hooks hooks;
+    hooks.on_load_change = [this]
+    {
+        load_exchange_.handle_load_change();
+        runner_.schedule_start();
+    };
+    hooks.on_attempt_end =
+        [this](targets::target&, const targets::ended_attempt& attempt)
+    {
+        const bool online = attempt.work == routing::work_class::online;
+        metrics_
+            .get_counter("tanagertrack_attempts_total",
+                         "attempts at targets that have ended",
+                         {{"work", online ? "online" : "batch"},
+                          {"result", to_string(attempt.result)}})
+            .add();
+    };
+    return hooks;
+}
+
 batch::environment entry_core::make_batch_environment()
 {
     return {
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -151,6 +151,7 @@
 private:
     /// Returns hooks that add and remove the directory's targets in `targets_`.
     fleet::target_directory::hooks make_directory_hooks();
+    targets::target_hooks make_target_hooks();
     batch::environment make_batch_environment();
     batch::membership_hooks make_membership_hooks();
 
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -44,6 +44,7 @@
       timer_(env.context),
       timeout_at_(
           std::min(call_.received + call_.route->timeout, call_.deadline)),
+      prompt_(env.protocol.read_prompt(call_.headers)),
       last_event_(call_.after_event)
 {
 }
@@ -117,6 +118,7 @@
         {{"request_id", call_.id},
          {"route", call_.route->name},
          {"version", call_.configuration->version()},
+         {"parts", routing::list_shared_parts(prompt_)},
          {"target", destination->id()},
          {"send", sends_},
          {"wait_ms", wait.count()},
@@ -138,6 +140,7 @@
     to_send.without_body = call_.method == "HEAD";
     to_send.events = is_stream();
     to_send.after_event = last_event_;
+    to_send.prompt = prompt_;
 
     // An idle connection may still deliver a late response to an earlier
     // request, or may be closed by the target while this request is sent. It
--- a/src/online/request.hpp
+++ b/src/online/request.hpp
@@ -141,6 +141,7 @@
 
     // Attempts.
     std::string service_;
+    routing::prompt prompt_;
     targets::attempt_ptr attempt_;
 
     /// Ids of the targets that were tried.
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -25,6 +25,18 @@
     return status / 100 == 2;
 }
 
+attempt_result result_of(const attempt_end& end, bool content_received)
+{
+    if (end.result == outcome::complete)
+        return attempt_result::complete;
+    if (end.result == outcome::not_run)
+        return attempt_result::not_run;
+    if (end.ec == result_code::protocol_error)
+        return attempt_result::invalid;
+    return content_received ? attempt_result::lost_midway
+                            : attempt_result::lost_at_start;
+}
+
 } // namespace
 
 attempt::attempt(const target_protocol& protocol, target_ptr destination,
@@ -123,6 +135,8 @@
     if (!splits_events_)
     {
         last_progress_ = common::clock::now();
+        if (is_success(status_))
+            handle_content();
         if (hooks_.on_piece)
             hooks_.on_piece(piece, std::nullopt);
         return;
@@ -144,7 +158,10 @@
     if (event.id)
         last_event_ = event.id;
     if (event.id || http::has_event_data(event.bytes))
+    {
         last_progress_ = common::clock::now();
+        handle_content();
+    }
     if (hooks_.on_piece)
         hooks_.on_piece(event.bytes, event.id);
 }
@@ -174,6 +191,7 @@
     ended_ = true;
     remove_from_load();
     record_target_health(end);
+    report_end(result_of(end, content_received_));
     if (auto connection = std::exchange(connection_, nullptr))
         destination_->release_connection(connection);
     auto hooks = std::exchange(hooks_, {});
@@ -197,9 +215,26 @@
         destination_->record_success();
 }
 
+void attempt::handle_content()
+{
+    if (!std::exchange(content_received_, true))
+        destination_->hooks().on_answer_begun(request_.prompt);
+}
+
+void attempt::report_end(attempt_result result)
+{
+    destination_->hooks().on_attempt_end(
+        *destination_,
+        {request_.work, request_.request_id, request_.prompt, result});
+}
+
 void attempt::cancel_silent()
 {
+    if (ended_)
+        return;
     destination_->record_failure(routing::target_failure::unanswered);
+    report_end(content_received_ ? attempt_result::lost_midway
+                                 : attempt_result::lost_at_start);
     cancel();
 }
 
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -2,6 +2,7 @@
 #define TANAGERTRACK_TARGETS_ATTEMPT_HPP
 
 #include "http/event_splitter.hpp"
+#include "routing/prompt.hpp"
 #include "targets/protocol.hpp"
 #include "targets/target.hpp"
 
@@ -46,6 +47,9 @@
 
     /// Number of the event after which the stream continues, if any.
     std::optional<std::uint64_t> after_event;
+
+    /// Parts of the request's prompt.
+    routing::prompt prompt;
 };
 
 /// Result of an attempt.
@@ -161,9 +165,16 @@
     /// Ends the attempt and calls `on_end`.
     void finish(attempt_end end);
 
+    /// Calls the hook of the process for the first content of a successful
+    /// response.
+    void handle_content();
+
     /// Records the result in the target's health.
     void record_target_health(const attempt_end& end);
 
+    /// Calls the hook of the process for ended attempts.
+    void report_end(attempt_result result);
+
     /// Removes the attempt from the target's load, if it is counted there.
     void remove_from_load();
 
@@ -191,6 +202,9 @@
     /// True once the head of the response was received.
     bool answered_ = false;
 
+    /// True once content of a successful response was received.
+    bool content_received_ = false;
+
     /// True if the response says that the target did not run the request.
     bool not_run_ = false;
 
--- a/src/targets/target.cpp
+++ b/src/targets/target.cpp
@@ -23,9 +23,8 @@
 } // namespace
 
 target::target(boost::asio::io_context& context, std::string id,
-               fleet::target_announcement announced,
-               const std::function<void()>& on_load_change)
-    : context_(context), on_load_change_(on_load_change), id_(std::move(id)),
+               fleet::target_announcement announced, const target_hooks& hooks)
+    : context_(context), hooks_(hooks), id_(std::move(id)),
       key_(static_cast<std::uint32_t>(common::hash64(id_)))
 {
     load.key = key_;
@@ -89,13 +88,13 @@
 void target::add_request(routing::work_class work)
 {
     ++(work == routing::work_class::online ? load.own_online : load.own_batch);
-    on_load_change_();
+    hooks_.on_load_change();
 }
 
 void target::remove_request(routing::work_class work)
 {
     --(work == routing::work_class::online ? load.own_online : load.own_batch);
-    on_load_change_();
+    hooks_.on_load_change();
 }
 
 void target::record_failure(routing::target_failure reason)
--- a/src/targets/target.hpp
+++ b/src/targets/target.hpp
@@ -4,6 +4,7 @@
 #include "fleet/target_directory.hpp"
 #include "http/client_connection.hpp"
 #include "routing/target_load.hpp"
+#include "targets/target_hooks.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -34,11 +35,9 @@
 {
 public:
     /// `id` is the id under which the target announces itself.
-    /// `on_load_change` is called whenever a request of this process to the
-    /// target starts or ends; it must outlive the target.
+    /// `hooks` must outlive the target.
     target(boost::asio::io_context& context, std::string id,
-           fleet::target_announcement announced,
-           const std::function<void()>& on_load_change);
+           fleet::target_announcement announced, const target_hooks& hooks);
 
     target(const target&) = delete;
     target& operator=(const target&) = delete;
@@ -107,12 +106,18 @@
     /// Records a successful attempt. The target is no longer avoided.
     void record_success();
 
+    /// Hooks of the process, called by the attempts at the target.
+    const target_hooks& hooks() const
+    {
+        return hooks_;
+    }
+
     /// Load and health of the target, from which routing chooses.
     routing::target_load load;
 
 private:
     boost::asio::io_context& context_;
-    const std::function<void()>& on_load_change_;
+    const target_hooks& hooks_;
     std::string id_;
     std::uint32_t key_;
     fleet::target_announcement announcement_;
--- a/src/targets/target_set.cpp
+++ b/src/targets/target_set.cpp
@@ -7,10 +7,9 @@
 {
 
 target_set::target_set(boost::asio::io_context& context,
-                       process_location location,
-                       std::function<void()> on_load_change)
+                       process_location location, target_hooks hooks)
     : context_(context), location_(std::move(location)),
-      on_load_change_(std::move(on_load_change))
+      hooks_(std::move(hooks))
 {
 }
 
@@ -26,7 +25,7 @@
             return found->second->update_announcement(value);
         remove(id);
     }
-    target_ptr it(new target(context_, id, value, on_load_change_));
+    target_ptr it(new target(context_, id, value, hooks_));
     it->load.proximity = distance_to(value.data_centre);
     by_id_[id] = it;
     for (const auto& service : value.services)
--- a/src/targets/target_set.hpp
+++ b/src/targets/target_set.hpp
@@ -30,10 +30,9 @@
 class target_set
 {
 public:
-    /// `on_load_change` is called whenever a request of this process to a
-    /// target starts or ends.
+    /// `hooks` are called for all targets.
     target_set(boost::asio::io_context& context, process_location location,
-               std::function<void()> on_load_change);
+               target_hooks hooks);
 
     /// Adds a target, or updates its announcement. If the start time, address
     /// or services have changed, the target is removed and added as a new one.
@@ -62,7 +61,7 @@
 
     boost::asio::io_context& context_;
     process_location location_;
-    std::function<void()> on_load_change_;
+    target_hooks hooks_;
     std::map<std::string, target_ptr, std::less<>> by_id_;
     std::map<std::string, std::vector<target_ptr>, std::less<>> by_service_;
 };
--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -248,10 +248,10 @@
     fleet::configuration_ptr configuration;
     targets::target_set targets{cluster.context,
                                 {"d", "", {}},
-                                [this]
-                                {
-                                    runner.schedule_start();
-                                }};
+                                {.on_load_change = [this]
+                                 {
+                                     runner.schedule_start();
+                                 }}};
     routing::placement placement{routing::placement_settings(),
                                  cluster.always_zero};
     batch::batch_settings settings;
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -177,8 +177,7 @@
     boost::asio::io_context context;
     std::list<scripted_server> servers;
     targets::target_protocol protocol = make_test_protocol();
-    targets::target_set set{context, {"d", "", {}}, [] {
-                            }};
+    targets::target_set set{context, {"d", "", {}}, {}};
     const routing::random_below always_zero = [](std::size_t)
     {
         return 0;
--- a/test/peers/test_load_exchange.cpp
+++ b/test/peers/test_load_exchange.cpp
@@ -30,7 +30,11 @@
     peer_process(boost::asio::io_context& context, const std::string& member)
         : address{"127.0.0.1", free_udp_port(context)},
           set(context, {"d", "", {}},
-              [this] { exchange->handle_load_change(); }),
+              {.on_load_change =
+                   [this]
+               {
+                   exchange->handle_load_change();
+               }}),
           exchange(std::make_unique<peers::load_exchange>(
               context, set, member, peers::exchange_settings{5ms, 50ms},
               [this] { return own; }, [this] { ++changes; }))
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -193,6 +193,32 @@
     BOOST_TEST(!protocol.read_load(answer_with(200, {})).has_value());
 }
 
+// Guards against taking the part that belongs to one request for a part that
+// requests share.
+BOOST_AUTO_TEST_CASE(parts_of_a_prompt_are_read_without_the_last_one)
+{
+    const auto protocol = platform::make_engine_protocol();
+    const auto read = [&](const std::string& text)
+    {
+        http::header_list headers;
+        headers.add("X-Tanagertrack-Prompt-Prefix", text);
+        return protocol.read_prompt(headers);
+    };
+    const auto full = read("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    BOOST_REQUIRE(full.shared.size() == 2);
+    BOOST_TEST(full.shared[0] == routing::make_part_key("5c1e07a2"));
+    BOOST_TEST(full.shared[1] == routing::make_part_key("91bd3f06"));
+    BOOST_TEST(full.own == routing::make_part_key("e4402b7d"));
+    BOOST_TEST(read("a:1, b:2").shared == read("a:7,c:1").shared);
+    BOOST_TEST(read("a:1").shared.empty());
+    for (const auto* it : {"", ",", ":", ":5,:6", " , "})
+    {
+        BOOST_TEST(read(it).shared.empty(), it);
+        BOOST_TEST(read(it).own == 0, it);
+    }
+    BOOST_TEST(protocol.read_prompt({}).shared.empty());
+}
+
 BOOST_AUTO_TEST_CASE(failures_of_batch_items_are_classified_by_status)
 {
     using batch::failure_kind;
--- a/test/targets/test_attempt.cpp
+++ b/test/targets/test_attempt.cpp
@@ -22,7 +22,7 @@
 {
     fixture()
         : destination(new targets::target(
-              context, "t", make_announcement(server.address()), no_hook))
+              context, "t", make_announcement(server.address()), hooks))
     {
     }
 
@@ -74,8 +74,19 @@
         return *end;
     }
 
-    const std::function<void()> no_hook = [] {
-    };
+    /// Results of the attempts that have ended, as passed to the hook of the
+    /// process, and the number of answers that have begun.
+    std::vector<targets::attempt_result> results;
+    unsigned answers_begun = 0;
+    const targets::target_hooks hooks{
+        .on_attempt_end =
+            [this](targets::target&, const targets::ended_attempt& it)
+        { results.push_back(it.result); },
+        .on_answer_begun =
+            [this](const routing::prompt&)
+        {
+            ++answers_begun;
+        }};
     boost::asio::io_context context;
     scripted_server server{context};
     targets::target_protocol protocol = make_test_protocol();
@@ -130,6 +141,30 @@
     BOOST_TEST(body.empty());
 }
 
+// Guards against metrics and evidence that take a lost target for a target that
+// broke off in the middle, or for one that refused the request.
+BOOST_AUTO_TEST_CASE(result_says_how_far_the_answer_had_come)
+{
+    using result = targets::attempt_result;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\n" + answers_to("a") + "Content-Length: 500\r\n\r\n";
+    server.add(whole_answer(200, "id: 1\ndata: x\n\n", answers_to("a")));
+    server.add(whole_answer(503, "full", answers_to("a") + "Not-Run: 1\r\n"));
+    server.add("", true);
+    server.add(head, true);
+    server.add(head + "id: 1\nda", true);
+    server.add(head + "id: 1\ndata: x\n\nid", true);
+    server.add(whole_answer(200, "x", answers_to("other")));
+    for (int n = 0; n < 7; ++n)
+        run("a", true);
+    const std::vector expected{result::complete,      result::not_run,
+                               result::lost_at_start, result::lost_at_start,
+                               result::lost_at_start, result::lost_midway,
+                               result::invalid};
+    BOOST_TEST((results == expected));
+    BOOST_TEST(answers_begun == 2);
+}
+
 // Guards against passing an answer on to the wrong caller.
 BOOST_AUTO_TEST_CASE(answer_with_the_id_of_another_request_ends_as_failed)
 {
