Read no further bytes while received ones are being parsed

Cause: a hook of a response may resume reading with client_connection::pause. The read then reserved space in the buffer while the parser consumed it; when the parser had consumed everything, the buffer was reset, and the bytes of the read were expected in another place than where they were written. The next response on the connection was taken for garbage ("bad version"). Found by the test of the crashing targets, whose callers take pieces at once. In the daemon the call is always posted, so that callers have not been affected. Change: a read starts only after the hooks have returned. Result: the new test of the client connection fails without the change ("bad version" in place of the second response) and passes with it.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -151,7 +151,7 @@
 
 void client_connection::read_some()
 {
-    if (read_pending_ || paused_ || state_ == state::closed)
+    if (read_pending_ || parsing_ || paused_ || state_ == state::closed)
         return;
     read_pending_ = true;
     boost::intrusive_ptr<client_connection> self(this);
@@ -176,7 +176,13 @@
             hook();
         return;
     }
+    // A hook may resume reading. The space in the buffer that a read would
+    // write to is not fixed while the parser consumes the buffer.
+    parsing_ = true;
     parse();
+    parsing_ = false;
+    if (state_ == state::idle)
+        return read_some();
     if (state_ != state::busy)
         return;
     if (ec)
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -178,6 +178,9 @@
     bool paused_ = false;
     bool read_pending_ = false;
 
+    /// True while received bytes are passed to the parser and to the hooks.
+    bool parsing_ = false;
+
     boost::beast::flat_buffer buffer_;
 
     common::time_point idle_since_;
--- /dev/null
+++ b/test/http/test_client_connection.cpp
@@ -0,0 +1,80 @@
+#include "http/client_connection.hpp"
+#include "support/event_loop.hpp"
+#include "support/scripted_server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+
+using namespace tanagertrack;
+using namespace tanagertrack::test;
+
+namespace
+{
+
+/// A client connection to a scripted server.
+struct fixture
+{
+    ~fixture()
+    {
+        connection->close();
+        server.stop();
+        run_ready(context);
+    }
+
+    void connect()
+    {
+        bool connected = false;
+        connection->connect(server.address(),
+                            [&](std::error_code ec) { connected = !ec; });
+        BOOST_REQUIRE(run_until(context, [&] { return connected; }));
+    }
+
+    /// Returns the body of the response, or the error message.
+    std::string get(const std::function<void()>& on_body)
+    {
+        std::string body;
+        std::optional<std::error_code> result;
+        http::response_hooks hooks;
+        hooks.on_body = [&](std::string_view piece)
+        {
+            body += piece;
+            on_body();
+        };
+        hooks.on_end = [&](std::error_code ec)
+        {
+            result = ec;
+        };
+        connection->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", std::move(hooks));
+        BOOST_REQUIRE(run_until(context, [&] { return result.has_value(); }));
+        return *result ? result->message() : body;
+    }
+
+    boost::asio::io_context context;
+    scripted_server server{context};
+    http::client_connection_ptr connection{
+        new http::client_connection(context, http::client_settings())};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(client_connection, fixture)
+
+// Guards against a read that starts while the parser consumes the buffer: its
+// bytes end up in the wrong place, and the next response is taken for garbage.
+BOOST_AUTO_TEST_CASE(response_is_intact_after_reading_is_resumed_in_its_hook)
+{
+    connect();
+    const auto resume = [this]
+    {
+        connection->pause(false);
+    };
+    for (const auto* text : {"first", "second", "third"})
+    {
+        server.add(chunked_head(200) + chunk(text) + chunk(""));
+        BOOST_TEST(get(resume) == text);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
