Refuse prompts that crash targets

Cause: a lost target's request was sent to the next target whatever had happened, and nothing joined the losses of several entries by what the requests had in common. The class is that of the request that takes down its server and is spread by retries; it concerned online requests, resumed streams, calls and batch items on both interfaces. Change: the library quarantine. Entries exchange which requests were lost with their target, and which parts of prompts targets have answered, in their load messages. A part that three crashes (five, if no answer had begun) of two prompts have in common, and that nothing has been answered with, is refused as not run with 1411 and Retry-After; batch items wait until their route gives them up. The verdict is recorded in a keyed topic of the store, lasts 30 s, then doubles if the leader's one trial request crashes again, and is lifted by any answer. Why it works: the parts beside the cause are answered by other requests, so that only the cause is left; the losses are pooled, so that the entries need not each lose five targets.

--- a/src/api/caller_api.cpp
+++ b/src/api/caller_api.cpp
@@ -226,6 +226,7 @@
     if (call.route == nullptr)
         return refuse_with_message(request.exchange, result_code::unknown_model,
                                    {});
+    call.prompt = parsed.prompt;
     const online::request_ptr online_request(new online::request(
         core_.online(), std::move(call),
         entry::make_answer_hooks(request.exchange, request.observer)));
--- a/src/api/item_parser.cpp
+++ b/src/api/item_parser.cpp
@@ -1,6 +1,7 @@
 #include "api/item_parser.hpp"
 
 #include "api/completion_json.hpp"
+#include "api/prompt_parts.hpp"
 #include "api/service_rules.hpp"
 #include "common/hash.hpp"
 #include "common/result_code.hpp"
@@ -102,6 +103,8 @@
         if (!fleet_->has_model(to_view(*model)))
             return fail(error, result_code::unknown_model, {});
         out.set_service(model->data(), model->size());
+        for (const auto part : read_prompt_parts(body->get_object()))
+            out.add_prompt_parts(part);
         out.set_path(std::string(target));
 
         // After a failure of its target, a streamed item is continued from the
--- a/src/api/model_request.cpp
+++ b/src/api/model_request.cpp
@@ -1,5 +1,6 @@
 #include "api/model_request.hpp"
 
+#include "api/prompt_parts.hpp"
 #include "common/result_code.hpp"
 #include "common/utf8.hpp"
 
@@ -84,6 +85,7 @@
         return result_code::invalid_request;
     }
     message = parse_fields(endpoint, value.get_object(), out);
+    out.prompt = routing::make_prompt(read_prompt_parts(value.get_object()));
     return message.empty() ? result_code::ok : result_code::invalid_request;
 }
 
--- a/src/api/model_request.hpp
+++ b/src/api/model_request.hpp
@@ -1,6 +1,8 @@
 #ifndef TANAGERTRACK_API_MODEL_REQUEST_HPP
 #define TANAGERTRACK_API_MODEL_REQUEST_HPP
 
+#include "routing/prompt.hpp"
+
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -26,6 +28,9 @@
     /// True if the request asks for one choice. Only then can an interrupted
     /// response be continued from the text received so far.
     bool resumable = true;
+
+    /// Parts of the prompt, see `read_prompt_parts`.
+    routing::prompt prompt;
 };
 
 /// Validates the body of a model request and reads the fields that routing
--- a/src/batch/environment.hpp
+++ b/src/batch/environment.hpp
@@ -3,6 +3,7 @@
 
 #include "fleet/configuration.hpp"
 #include "routing/placement.hpp"
+#include "routing/prompt.hpp"
 #include "routing/urgency.hpp"
 #include "targets/protocol.hpp"
 #include "targets/target_set.hpp"
@@ -143,6 +144,9 @@
     std::function<std::uint32_t(const std::string&,
                                 const routing::urgency_key&)>
         peer_items_ahead;
+
+    /// Called before each send of an item.
+    routing::prompt_refusal time_refused = routing::refuse_none;
 };
 
 } // namespace tanagertrack::batch
--- a/src/batch/item_request.cpp
+++ b/src/batch/item_request.cpp
@@ -26,7 +26,7 @@
     out.request_id = item.data.id();
     out.events = !item.data.whole_answer();
     out.after_event = item.last_event;
-    out.prompt = protocol.read_prompt(headers);
+    out.prompt = item.prompt;
 
     // Uses a new connection: if the target closed an idle one while the request
     // is sent, it would be unknown whether the item ran.
--- a/src/batch/item_route.cpp
+++ b/src/batch/item_route.cpp
@@ -37,4 +37,16 @@
     return route == nullptr ? default_max_failures : route->max_attempts;
 }
 
+std::optional<std::chrono::milliseconds>
+find_time_to_expiry(const fleet::configuration* configuration,
+                    const state::batch_job& job)
+{
+    const auto* route = configuration == nullptr
+                            ? nullptr
+                            : configuration->find_route_named(job.route);
+    if (route == nullptr || route->expires_after.count() == 0)
+        return std::nullopt;
+    return route->expires_after - std::chrono::milliseconds(job.due_after_ms);
+}
+
 } // namespace tanagertrack::batch
--- a/src/batch/item_route.hpp
+++ b/src/batch/item_route.hpp
@@ -4,7 +4,9 @@
 #include "fleet/configuration.hpp"
 #include "state/job_table.hpp"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +26,12 @@
                                 const state::batch_job* job,
                                 std::uint32_t default_max_failures);
 
+/// Returns the time from the due time of a job to the time at which its items
+/// may be given up; std::nullopt if the job's route is unknown or states none.
+std::optional<std::chrono::milliseconds>
+find_time_to_expiry(const fleet::configuration* configuration,
+                    const state::batch_job& job);
+
 } // namespace tanagertrack::batch
 
 #endif
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -3,6 +3,7 @@
 
 #include "common/clock.hpp"
 #include "proto/jobs.pb.h"
+#include "routing/prompt.hpp"
 #include "routing/urgency.hpp"
 #include "targets/attempt.hpp"
 
@@ -53,6 +54,9 @@
     proto::JobItem data;
     std::size_t data_bytes = 0;
 
+    /// Parts of the item's prompt.
+    routing::prompt prompt;
+
     /// Data of the events received so far, or the received part of a response
     /// that is not a stream.
     std::string text;
@@ -157,6 +161,9 @@
     it->rank = {{false, run.due}, run.order, index};
     it->data = data;
     it->data_bytes = data.ByteSizeLong();
+    it->prompt = routing::make_prompt(
+        {data.prompt_parts().data(),
+         static_cast<std::size_t>(data.prompt_parts_size())});
     run.items[index] = it;
     return it;
 }
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -32,6 +32,10 @@
 /// due later wait.
 constexpr std::size_t max_loaded_bytes = 8UL * 1024 * 1024;
 
+/// Time after which an item whose prompt crashes targets is examined again. The
+/// verdict may be lifted earlier than it ends.
+constexpr auto max_quarantine_pause = milliseconds(1000);
+
 /// Pending items above which no further parts are loaded.
 constexpr std::size_t max_pending_for_load = 512;
 
@@ -324,7 +328,8 @@
     {
         if (candidates.size() >= max_scanned_items)
             break;
-        candidates.push_back(item);
+        if (item->not_before <= now)
+            candidates.push_back(item);
     }
     for (const auto& item : candidates)
     {
@@ -356,7 +361,23 @@
         return false;
     }
     run.route_missing_since.reset();
-    return item->not_before <= now && ensure_intent_granted(jobs_, *item);
+    if (const auto refused_for = environment_.time_refused(item->prompt))
+    {
+        hold_refused_item(run, item, *refused_for, now);
+        return false;
+    }
+    return ensure_intent_granted(jobs_, *item);
+}
+
+void runner::hold_refused_item(const job_run& run, const item_run_ptr& item,
+                               milliseconds refused_for, common::time_point now)
+{
+    item->not_before = now + std::min(refused_for, max_quarantine_pause);
+    const auto* job = jobs_.table().find(run.id);
+    const auto to_expiry =
+        find_time_to_expiry(environment_.configuration().get(), *job);
+    if (job->due_after_ms != 0 && to_expiry && now > run.due + *to_expiry)
+        finish_item(item, proto::ITEM_DEAD, 0, {});
 }
 
 void runner::handle_intent(const proto::ItemIntent& intent,
@@ -465,7 +486,7 @@
                      {{"job", item->job},
                       {"item", item->data.id()},
                       {"target", target->id()},
-                      {"parts", routing::list_shared_parts(request.prompt)},
+                      {"parts", routing::list_shared_parts(item->prompt)},
                       {"after_event", item->last_event.value_or(0)},
                       {"attempt", item->attempts},
                       {"online", target->load.online()},
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -128,6 +128,12 @@
     /// once.
     bool may_start(job_run& run, const item_run_ptr& item,
                    const std::string& service, common::time_point now);
+
+    /// Lets an item wait whose prompt crashes targets, and ends it once the
+    /// route says that it may be given up.
+    void hold_refused_item(const job_run& run, const item_run_ptr& item,
+                           std::chrono::milliseconds refused_for,
+                           common::time_point now);
     void handle_intent(const proto::ItemIntent& intent,
                        state::intent_result result);
     targets::target_ptr choose_target(const item_run& item,
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -122,18 +122,21 @@
                make_target_hooks()),
       directory_(make_directory_hooks()), random_(make_random()),
       placement_(placement_settings(settings), random_),
+      member_id_(settings.name + '-' +
+                 common::random_id().substr(0, member_suffix_length)),
+      guard_(context, metrics, parts_.store, parts_.quarantine_topic,
+             member_id_, make_guard_hooks()),
       online_{context,
               online_settings_,
               parts_.protocol,
               targets_,
               placement_,
               random_,
-              [this](targets::target& target)
+              [this](targets::target& target) { runner_.preempt_one(target); },
+              [this](const routing::prompt& prompt)
               {
-                  runner_.preempt_one(target);
+                  return guard_.time_refused(prompt);
               }},
-      member_id_(settings.name + '-' +
-                 common::random_id().substr(0, member_suffix_length)),
       batch_settings_(batch_settings(settings)),
       jobs_(context, parts_.store, job_settings(settings, member_id_)),
       texts_(context, parts_.store, text_settings(settings, member_id_)),
@@ -150,14 +153,8 @@
       record_mover_(context, jobs_, texts_, settings.store.retention,
                     [this](const std::string& member)
                     { return membership_.is_responsible_for(member); }),
-      load_exchange_(
-          context, targets_, member_id_, peers::exchange_settings(),
-          [this] { return own_state(); },
-          [this]
-          {
-              runner_.preempt_excess();
-              runner_.schedule_start();
-          })
+      load_exchange_(context, targets_, member_id_, peers::exchange_settings(),
+                     make_exchange_hooks())
 {
     jobs_.add_listener(make_member_listener());
 }
@@ -199,7 +196,7 @@
         runner_.schedule_start();
     };
     hooks.on_attempt_end =
-        [this](targets::target&, const targets::ended_attempt& attempt)
+        [this](targets::target& target, const targets::ended_attempt& attempt)
     {
         const bool online = attempt.work == routing::work_class::online;
         metrics_
@@ -208,6 +205,44 @@
                          {{"work", online ? "online" : "batch"},
                           {"result", to_string(attempt.result)}})
             .add();
+        guard_.handle_attempt_end(target, attempt);
+    };
+    hooks.on_answer_begun = [this](const routing::prompt& prompt)
+    {
+        guard_.handle_answer_begun(prompt);
+    };
+    return hooks;
+}
+
+quarantine::guard_hooks entry_core::make_guard_hooks()
+{
+    quarantine::guard_hooks hooks;
+    hooks.on_observation = [this]
+    {
+        load_exchange_.handle_load_change();
+    };
+    hooks.is_leader = [this]
+    {
+        return membership_.is_leader();
+    };
+    return hooks;
+}
+
+peers::exchange_hooks entry_core::make_exchange_hooks()
+{
+    peers::exchange_hooks hooks;
+    hooks.read_own_state = [this]
+    {
+        return own_state();
+    };
+    hooks.on_change = [this]
+    {
+        runner_.preempt_excess();
+        runner_.schedule_start();
+    };
+    hooks.on_observations = [this](const quarantine::observations& received)
+    {
+        guard_.apply_observations(received);
     };
     return hooks;
 }
@@ -233,6 +268,10 @@
             return batch_settings_.order == batch::batch_order::by_entry
                        ? loads.entries_ahead(service, member_id_)
                        : loads.items_ahead(service, urgency, member_id_);
+        },
+        [this](const routing::prompt& prompt)
+        {
+            return guard_.time_refused(prompt);
         }};
 }
 
@@ -277,9 +316,10 @@
     return listener;
 }
 
-peers::own_state entry_core::own_state() const
+peers::own_state entry_core::own_state()
 {
-    return {runner_.waiting(max_waiting_groups), parts_.store.last_contact()};
+    return {runner_.waiting(max_waiting_groups), parts_.store.last_contact(),
+            guard_.recent_observations(common::clock::now())};
 }
 
 void entry_core::start()
@@ -289,6 +329,7 @@
         common::log_warning(
             "peer_listen_failed",
             {{"address", to_string(address)}, {"what", ec.message()}});
+    guard_.start();
     jobs_.start();
     runner_.start();
     membership_.start();
@@ -341,6 +382,9 @@
         counts.dead);
     set("tanagertrack_jobs", "jobs that are kept", jobs_.table().size());
     set("tanagertrack_targets", "targets in use", targets_.size());
+    set("tanagertrack_quarantined_prompts",
+        "verdicts on parts of prompts that crash targets",
+        guard_.verdict_count());
     set("tanagertrack_config_version", "configuration in effect",
         configuration_ ? configuration_->version() : 0);
     set("tanagertrack_log_lines_dropped", "log lines that a slow reader lost",
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -19,6 +19,7 @@
 #include "fleet/target_directory.hpp"
 #include "online/environment.hpp"
 #include "peers/load_exchange.hpp"
+#include "quarantine/prompt_guard.hpp"
 #include "store/store_service.hpp"
 #include "targets/target_set.hpp"
 
@@ -37,6 +38,9 @@
 
     /// Returns the effect of a target's HTTP error status on a batch item.
     std::function<batch::failure_kind(unsigned)> classify_failure;
+
+    /// Keyed topic of the store for verdicts on prompts that crash targets.
+    std::string quarantine_topic;
 };
 
 /// All parts of an entry except its edge: targets and their load, online
@@ -155,12 +159,15 @@
     batch::environment make_batch_environment();
     batch::membership_hooks make_membership_hooks();
 
+    quarantine::guard_hooks make_guard_hooks();
+    peers::exchange_hooks make_exchange_hooks();
+
     /// Returns a listener that adds members that join to the peers of the load
     /// exchange, and removes those that depart.
     batch::job_listener make_member_listener();
 
     /// Returns the state that is sent to other entries with the load.
-    peers::own_state own_state() const;
+    peers::own_state own_state();
     void update_gauges();
 
     boost::asio::io_context& context_;
@@ -176,13 +183,16 @@
     routing::random_below random_;
     routing::placement placement_;
 
+    // Protection of the targets. The guard is used by the hooks of `targets_`.
+    std::string member_id_;
+    quarantine::prompt_guard guard_;
+
     // Online requests.
     online::online_settings online_settings_;
     online::environment online_;
 
     // Batch work. The parts are notified of changes to jobs in the order of
     // their construction.
-    std::string member_id_;
     batch::batch_settings batch_settings_;
     batch::job_log jobs_;
     batch::text_store texts_;
--- a/src/online/call.hpp
+++ b/src/online/call.hpp
@@ -4,6 +4,7 @@
 #include "common/clock.hpp"
 #include "fleet/configuration.hpp"
 #include "http/header_list.hpp"
+#include "routing/prompt.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -45,6 +46,9 @@
     common::time_point deadline;
     work_size size;
 
+    /// Parts of the prompt; none if they are not known.
+    routing::prompt prompt;
+
     /// Number of the last event that the caller has; the stream continues after
     /// it. Without a value, the stream starts with its first event.
     std::optional<std::uint64_t> after_event;
--- a/src/online/environment.hpp
+++ b/src/online/environment.hpp
@@ -2,6 +2,7 @@
 #define TANAGERTRACK_ONLINE_ENVIRONMENT_HPP
 
 #include "routing/placement.hpp"
+#include "routing/prompt.hpp"
 #include "targets/protocol.hpp"
 #include "targets/target_set.hpp"
 
@@ -74,6 +75,9 @@
     /// Called before an online request is sent to a target without a free slot,
     /// to preempt a batch item there.
     std::function<void(targets::target&)> preempt_for_online;
+
+    /// Called before each send of a request.
+    routing::prompt_refusal time_refused = routing::refuse_none;
 };
 
 } // namespace tanagertrack::online
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -44,7 +44,6 @@
       timer_(env.context),
       timeout_at_(
           std::min(call_.received + call_.route->timeout, call_.deadline)),
-      prompt_(env.protocol.read_prompt(call_.headers)),
       last_event_(call_.after_event)
 {
 }
@@ -88,6 +87,8 @@
     const auto usable = candidates();
     if (usable.empty() || timeout_at_ - now < min_time_left)
         return fail_request(last_failure);
+    if (const auto retry_after = environment_.time_refused(call_.prompt))
+        return refuse_prompt(*retry_after);
 
     std::vector<const routing::target_load*> loads;
     loads.reserve(usable.size());
@@ -118,7 +119,7 @@
         {{"request_id", call_.id},
          {"route", call_.route->name},
          {"version", call_.configuration->version()},
-         {"parts", routing::list_shared_parts(prompt_)},
+         {"parts", routing::list_shared_parts(call_.prompt)},
          {"target", destination->id()},
          {"send", sends_},
          {"wait_ms", wait.count()},
@@ -140,7 +141,7 @@
     to_send.without_body = call_.method == "HEAD";
     to_send.events = is_stream();
     to_send.after_event = last_event_;
-    to_send.prompt = prompt_;
+    to_send.prompt = call_.prompt;
 
     // An idle connection may still deliver a late response to an earlier
     // request, or may be closed by the target while this request is sent. It
@@ -362,6 +363,19 @@
     finish_request(common::info(cause.code).name);
 }
 
+void request::refuse_prompt(milliseconds retry_after)
+{
+    common::log_info("request_quarantined",
+                     {{"request_id", call_.id},
+                      {"parts", routing::list_shared_parts(call_.prompt)},
+                      {"runs", runs_},
+                      {"retry_after_ms", retry_after.count()}});
+    const failure cause{result_code::prompt_quarantined, "prompt_quarantined"};
+    if (runs_ == 0 && !answer_started_)
+        return refuse(cause, retry_after);
+    fail_request(cause);
+}
+
 void request::abandon()
 {
     if (!ended_)
--- a/src/online/request.hpp
+++ b/src/online/request.hpp
@@ -85,7 +85,8 @@
 
     /// Sends the request to the target that the placement chooses, or, before
     /// the first send, refuses it if the estimated wait is too long. Fails the
-    /// request with `last_failure` if no target or too little time is left.
+    /// request with `last_failure` if no target or too little time is left, and
+    /// for its prompt if that crashes targets.
     void try_next_target(failure last_failure);
 
     /// Returns the targets of the service that were not tried yet.
@@ -109,6 +110,9 @@
     void handle_write(std::error_code ec);
     void refuse(failure cause, std::chrono::milliseconds retry_after);
 
+    /// Ends the request because it would crash its target.
+    void refuse_prompt(std::chrono::milliseconds retry_after);
+
     /// Ends the request without a complete response: aborts the response if it
     /// was started, refuses the request otherwise.
     void fail_request(failure cause);
@@ -141,7 +145,6 @@
 
     // Attempts.
     std::string service_;
-    routing::prompt prompt_;
     targets::attempt_ptr attempt_;
 
     /// Ids of the targets that were tried.
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -1,5 +1,7 @@
 #include "peers/load_exchange.hpp"
 
+#include "peers/observation_messages.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -41,12 +43,9 @@
 
 load_exchange::load_exchange(asio::io_context& context,
                              targets::target_set& set, std::string member,
-                             exchange_settings settings,
-                             std::function<own_state()> read_own_state,
-                             std::function<void()> on_change)
+                             exchange_settings settings, exchange_hooks hooks)
     : targets_(set), member_(std::move(member)), settings_(settings),
-      read_own_state_(std::move(read_own_state)),
-      on_change_(std::move(on_change)), socket_(context), timer_(context)
+      hooks_(std::move(hooks)), socket_(context), timer_(context)
 {
 }
 
@@ -126,7 +125,7 @@
     if (loads_.expire(now))
     {
         update_target_loads();
-        on_change_();
+        hooks_.on_change();
     }
     change_pending_ = false;
     const auto bytes = make_message(now).SerializeAsString();
@@ -145,7 +144,8 @@
     LoadMessage message;
     message.set_member(member_);
     message.set_sequence(++sequence_);
-    const auto state = read_own_state_();
+    const auto state = hooks_.read_own_state();
+    add_observations(message, state.observed, now);
     for (const auto& it : state.waiting)
         add_waiting(message, it, now);
     message.set_store_age_ms(static_cast<std::uint32_t>(
@@ -201,11 +201,14 @@
     const auto peer = parsed ? peers_.find(message.member()) : peers_.end();
     if (peer == peers_.end() || peer->second != sender_)
         return;
-    if (!loads_.apply_message(message, common::clock::now()))
+    const auto now = common::clock::now();
+    if (!loads_.apply_message(message, now))
         return;
     apply_reports(message);
     update_target_loads();
-    on_change_();
+    hooks_.on_change();
+    if (message.crashes_size() + message.sound_parts_size() != 0)
+        hooks_.on_observations(read_observations(message, now));
 }
 
 void load_exchange::apply_reports(const LoadMessage& message)
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "common/endpoint.hpp"
 #include "peers/peer_loads.hpp"
+#include "quarantine/crash_report.hpp"
 #include "routing/urgency.hpp"
 #include "targets/target_set.hpp"
 
@@ -46,6 +47,24 @@
 
     /// Time of the last answer of the store.
     common::time_point store_contact;
+
+    /// What this process has observed of crashing targets.
+    quarantine::observations observed;
+};
+
+/// Functions of the process that the exchange uses.
+struct exchange_hooks
+{
+    /// Returns the state for a message that is about to be sent.
+    std::function<own_state()> read_own_state;
+
+    /// Called after the loads of peers have changed.
+    std::function<void()> on_change;
+
+    /// Called with the observations of another entry, if it has sent any.
+    std::function<void(const quarantine::observations&)> on_observations =
+        [](const quarantine::observations&) {
+        };
 };
 
 /// Sends the number of requests that this entry runs on each target to the
@@ -56,13 +75,10 @@
 class load_exchange
 {
 public:
-    /// `member` is the name of this process. `read_own_state` is called for
-    /// each message that is sent, `on_change` after the loads of peers have
-    /// changed.
+    /// `member` is the name of this process.
     load_exchange(boost::asio::io_context& context, targets::target_set& set,
                   std::string member, exchange_settings settings,
-                  std::function<own_state()> read_own_state,
-                  std::function<void()> on_change);
+                  exchange_hooks hooks);
 
     load_exchange(const load_exchange&) = delete;
     load_exchange& operator=(const load_exchange&) = delete;
@@ -82,7 +98,7 @@
     void remove_peer(const std::string& member);
 
     /// Schedules a message after a request of this process has started or
-    /// ended.
+    /// ended, or something was observed.
     void handle_load_change();
 
     const peer_loads& loads() const
@@ -117,8 +133,7 @@
     targets::target_set& targets_;
     std::string member_;
     exchange_settings settings_;
-    std::function<own_state()> read_own_state_;
-    std::function<void()> on_change_;
+    exchange_hooks hooks_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::steady_timer timer_;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers_;
--- a/src/routing/prompt.cpp
+++ b/src/routing/prompt.cpp
@@ -2,17 +2,35 @@
 
 #include "common/hash.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
 namespace tanagertrack::routing
 {
 
-part_key make_part_key(const std::string& id)
+part_key make_part_key(std::string_view id)
 {
     return common::hash64(id);
 }
 
+prompt make_prompt(std::span<const part_key> parts)
+{
+    if (parts.empty())
+        return {};
+    const auto shared =
+        parts.first(std::min(parts.size(), max_prompt_parts) - 1);
+    return {{shared.begin(), shared.end()}, parts.back()};
+}
+
+std::vector<part_key> all_parts(const prompt& value)
+{
+    auto parts = value.shared;
+    if (value.own != 0)
+        parts.push_back(value.own);
+    return parts;
+}
+
 std::string to_string(part_key part)
 {
     constexpr std::size_t digits = 16;
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.hpp"
 #include "common/logging.hpp"
 #include "common/timer_wait.hpp"
+#include "store/keyed_record.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -94,24 +95,19 @@
 {
     for (const auto& it : records)
     {
-        // Layout: length of the key (one byte), key, value. A removed key has
-        // an empty value.
-        const std::string_view bytes = it;
-        const std::size_t key_length =
-            bytes.empty() ? 0 : static_cast<unsigned char>(bytes.front());
-        if (bytes.size() < 1 + key_length)
+        const auto entry = parse_keyed_record(it);
+        if (!entry)
         {
             common::log_warning(
                 "keyed_record_skipped",
-                {{"topic", partition_.topic}, {"bytes", bytes.size()}});
+                {{"topic", partition_.topic}, {"bytes", it.size()}});
             continue;
         }
-        const std::string key(bytes.substr(1, key_length));
-        const auto value = bytes.substr(1 + key_length);
-        if (value.empty())
+        const std::string key(entry->key);
+        if (entry->value.empty())
             hooks_.on_value(key, std::nullopt);
         else
-            hooks_.on_value(key, value);
+            hooks_.on_value(key, entry->value);
     }
 }
 
--- a/src/tanagertrackd.cpp
+++ b/src/tanagertrackd.cpp
@@ -5,6 +5,7 @@
 #include "platform/engine_protocol.hpp"
 #include "platform/platform_edge.hpp"
 #include "platform/store_client.hpp"
+#include "platform/wire_names.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -53,6 +54,7 @@
     parts.classify_failure = settings.callers == "platform"
                                  ? platform::classify_failure
                                  : api::classify_failure;
+    parts.quarantine_topic = platform::wire::quarantine_topic;
     return parts;
 }
 
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -223,9 +223,9 @@
 
 void attempt::report_end(attempt_result result)
 {
-    destination_->hooks().on_attempt_end(
-        *destination_,
-        {request_.work, request_.request_id, request_.prompt, result});
+    destination_->hooks().on_attempt_end(*destination_,
+                                         {request_.work, request_.request_id,
+                                          request_.prompt, result, answered_});
 }
 
 void attempt::cancel_silent()
--- a/src/targets/protocol.hpp
+++ b/src/targets/protocol.hpp
@@ -3,7 +3,6 @@
 
 #include "http/client_connection.hpp"
 #include "http/header_list.hpp"
-#include "routing/prompt.hpp"
 #include "routing/target_load.hpp"
 
 #include <chrono>
@@ -90,14 +89,6 @@
     std::function<std::optional<routing::load_report>(
         const http::response_head&)>
         read_load;
-
-    /// Returns the parts of the prompt of a request with these header fields;
-    /// an empty prompt if the parts are not stated.
-    std::function<routing::prompt(const http::header_list&)> read_prompt =
-        [](const http::header_list&)
-    {
-        return routing::prompt();
-    };
 };
 
 } // namespace tanagertrack::targets
--- a/src/targets/target.cpp
+++ b/src/targets/target.cpp
@@ -60,13 +60,35 @@
         it->close();
     }
 
+    connect(
+        [handler](std::error_code ec, http::client_connection_ptr it) {
+            handler(ec, {std::move(it), false});
+        });
+}
+
+void target::connect(
+    std::function<void(std::error_code, http::client_connection_ptr)> handler)
+{
     ++connections_made_;
     http::client_connection_ptr it(
         new http::client_connection(context_, http::client_settings()));
     it->connect(announcement_.address,
-                [it, handler](std::error_code ec) {
-                    handler(ec, {it, false});
-                });
+                [it, handler = std::move(handler)](std::error_code ec)
+                { handler(ec, it); });
+}
+
+void target::check_reachable(std::function<void(bool)> handler)
+{
+    if (!in_use_)
+        return handler(false);
+    connect(
+        [self = target_ptr(this), handler = std::move(handler)](
+            std::error_code ec, const http::client_connection_ptr& it)
+        {
+            if (!ec)
+                self->release_connection(it);
+            handler(!ec);
+        });
 }
 
 void target::release_connection(const http::client_connection_ptr& connection)
--- a/src/targets/target.hpp
+++ b/src/targets/target.hpp
@@ -73,6 +73,11 @@
     /// idle, if the pool is full, or if the target is retired.
     void release_connection(const http::client_connection_ptr& connection);
 
+    /// Checks whether the target accepts a new connection, and passes the
+    /// result to `handler`. The connection is kept for later requests. A target
+    /// that was removed counts as unreachable.
+    void check_reachable(std::function<void(bool reachable)> handler);
+
     /// Closes the idle connections when the target is removed. Requests in
     /// progress continue.
     void retire();
@@ -116,6 +121,11 @@
     routing::target_load load;
 
 private:
+    /// Makes a new connection.
+    void
+    connect(std::function<void(std::error_code, http::client_connection_ptr)>
+                handler);
+
     boost::asio::io_context& context_;
     const target_hooks& hooks_;
     std::string id_;
--- a/src/targets/target_hooks.hpp
+++ b/src/targets/target_hooks.hpp
@@ -44,6 +44,9 @@
     std::string_view request_id;
     const routing::prompt& prompt;
     attempt_result result = attempt_result::complete;
+
+    /// True if the head of a response to the request was received.
+    bool head_received = false;
 };
 
 /// Hooks that the targets of a process call. None may be empty.
--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -119,7 +119,8 @@
         run_ready(cluster.context);
     }
 
-    void add_route(std::uint32_t max_attempts)
+    void add_route(std::uint32_t max_attempts,
+                   std::chrono::milliseconds expires_after = {})
     {
         fleet::route it;
         it.name = "r";
@@ -128,6 +129,7 @@
         it.kind = fleet::route_kind::batch;
         it.services = {{"s", 1}};
         it.max_attempts = max_attempts;
+        it.expires_after = expires_after;
         configuration = std::make_shared<fleet::configuration>(
             1, std::vector{it}, std::vector<fleet::service>(),
             fleet::request_limits());
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -191,6 +191,46 @@
 
 // Guards against an item that fails for good because of faults of its targets:
 // refusals, timeouts, malformed answers and closed connections.
+// Guards against items that crash one target after the other, and against a
+// refused item that keeps other items from starting.
+BOOST_AUTO_TEST_CASE(item_with_a_refused_prompt_waits_and_others_run)
+{
+    bool refused = true;
+    auto first = one.make_item("a");
+    first.add_prompt_parts(1);
+    first.add_prompt_parts(2);
+    one.environment.time_refused = [&refused](const routing::prompt& prompt)
+    {
+        return refused && prompt.own == 2 ? std::optional(10ms) : std::nullopt;
+    };
+    BOOST_REQUIRE(one.accept("j", {first, one.make_item("b")}));
+    BOOST_REQUIRE(one.until([&] { return read(one, "j").size() == 1; }));
+    BOOST_TEST(server.requests.size() == 1U);
+    refused = false;
+    BOOST_REQUIRE(one.until([&] { return one.finished("j"); }));
+    for (const auto& it : read(one, "j"))
+        BOOST_TEST((it.state == proto::ITEM_DONE));
+}
+
+// Guards against an item that waits for ever because its prompt is refused, and
+// against giving it up earlier than its route permits.
+BOOST_AUTO_TEST_CASE(item_with_a_refused_prompt_ends_when_its_route_permits)
+{
+    auto refused = one.make_item("a");
+    refused.add_prompt_parts(1);
+    one.environment.time_refused = [](const routing::prompt&)
+    {
+        return std::optional(10ms);
+    };
+    const auto start = common::clock::now();
+    one.add_route(3, 600ms);
+    BOOST_REQUIRE(one.accept("j", {refused}));
+    BOOST_REQUIRE(one.until([&] { return one.finished("j"); }));
+    BOOST_TEST((read(one, "j").front().state == proto::ITEM_DEAD));
+    BOOST_TEST((common::clock::now() - start >= 600ms));
+    BOOST_TEST(server.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(transient_failures_do_not_count_towards_the_maximum)
 {
     const auto id = answers_to("a");
--- a/test/entry/crashing_fleet.hpp
+++ b/test/entry/crashing_fleet.hpp
@@ -79,10 +79,8 @@
         : settings_(make_settings(context, name)),
           core(context, settings_, metrics_,
                {store.service(), make_test_protocol(),
-                [](unsigned)
-                {
-                    return batch::failure_kind::transient;
-                }})
+                [](unsigned) { return batch::failure_kind::transient; },
+                "keyed.quarantine"})
     {
         core.start();
     }
@@ -181,7 +179,7 @@
         call.method = "POST";
         call.target = path;
         call.host = "h";
-        call.headers.add("Prompt", prompt);
+        call.prompt = make_prompt(prompt);
         call.configuration = std::make_shared<fleet::configuration>(
             1, std::vector{route_}, std::vector<fleet::service>(),
             fleet::request_limits());
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -140,6 +140,15 @@
         return result;
     }
 
+    /// Refuses prompts from the `n`th send on.
+    void refuse_prompts_from_send(unsigned n)
+    {
+        environment.time_refused = [n, sends = 0U](const auto&) mutable
+        {
+            return ++sends >= n ? std::optional(1500ms) : std::nullopt;
+        };
+    }
+
     void make_stream()
     {
         route.kind = fleet::route_kind::stream;
@@ -227,6 +236,34 @@
     BOOST_TEST(result.body == "hello");
 }
 
+// Guards against a request that would crash its target, and against a refusal
+// that does not say the truth or when to come back.
+BOOST_AUTO_TEST_CASE(refused_prompt_is_not_sent)
+{
+    auto& server = add_target("t1");
+    refuse_prompts_from_send(1);
+    const auto it = run();
+    BOOST_REQUIRE(it.refused.has_value());
+    BOOST_TEST((it.refused->code == result_code::prompt_quarantined));
+    BOOST_TEST((it.refused->ran == execution::not_run));
+    BOOST_TEST((it.refused->retry_after == 1500ms));
+    BOOST_TEST(server.requests.empty());
+}
+
+// Guards against a retry that crashes the next target, and against a refusal as
+// not run of a request that has run.
+BOOST_AUTO_TEST_CASE(request_whose_prompt_is_refused_meanwhile_is_not_retried)
+{
+    add_target("t1").add("", true);
+    auto& second = add_target("t2");
+    refuse_prompts_from_send(2);
+    const auto it = run();
+    BOOST_REQUIRE(it.refused.has_value());
+    BOOST_TEST((it.refused->code == result_code::target_failed));
+    BOOST_TEST((it.refused->ran == execution::may_have_run));
+    BOOST_TEST(second.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(request_runs_on_at_most_max_attempts_targets)
 {
     std::vector<scripted_server*> all;
--- a/test/peers/test_load_exchange.cpp
+++ b/test/peers/test_load_exchange.cpp
@@ -37,7 +37,13 @@
                }}),
           exchange(std::make_unique<peers::load_exchange>(
               context, set, member, peers::exchange_settings{5ms, 50ms},
-              [this] { return own; }, [this] { ++changes; }))
+              peers::exchange_hooks{.read_own_state = [this] { return own; },
+                                    .on_change = [this] { ++changes; },
+                                    .on_observations =
+                                        [this](const auto& it)
+                                    {
+                                        observed.push_back(it);
+                                    }}))
     {
         BOOST_REQUIRE(!exchange->start(address));
         for (const auto* id : {"t1", "t2"})
@@ -52,6 +58,7 @@
     common::endpoint address;
     peers::own_state own;
     unsigned changes = 0;
+    std::vector<quarantine::observations> observed;
     targets::target_set set;
     std::unique_ptr<peers::load_exchange> exchange;
 };
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -197,12 +197,9 @@
 // requests share.
 BOOST_AUTO_TEST_CASE(parts_of_a_prompt_are_read_without_the_last_one)
 {
-    const auto protocol = platform::make_engine_protocol();
-    const auto read = [&](const std::string& text)
+    const auto read = [](std::string_view text)
     {
-        http::header_list headers;
-        headers.add("X-Tanagertrack-Prompt-Prefix", text);
-        return protocol.read_prompt(headers);
+        return platform::parse_prompt(text);
     };
     const auto full = read("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
     BOOST_REQUIRE(full.shared.size() == 2);
@@ -216,7 +213,6 @@
         BOOST_TEST(read(it).shared.empty(), it);
         BOOST_TEST(read(it).own == 0, it);
     }
-    BOOST_TEST(protocol.read_prompt({}).shared.empty());
 }
 
 BOOST_AUTO_TEST_CASE(failures_of_batch_items_are_classified_by_status)
--- a/test/support/test_protocol.hpp
+++ b/test/support/test_protocol.hpp
@@ -2,11 +2,13 @@
 #define TANAGERTRACK_TEST_SUPPORT_TEST_PROTOCOL_HPP
 
 #include "fleet/target_directory.hpp"
+#include "routing/prompt.hpp"
 #include "targets/protocol.hpp"
 
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tanagertrack::test
 {
@@ -14,27 +16,21 @@
 /// Prompt of the parts whose ids are listed, separated by commas.
 inline routing::prompt make_prompt(std::string_view ids)
 {
-    routing::prompt out;
+    std::vector<routing::part_key> parts;
     while (!ids.empty())
     {
         const auto n = std::min(ids.find(','), ids.size());
-        out.shared.push_back(
-            routing::make_part_key(std::string(ids.substr(0, n))));
+        parts.push_back(routing::make_part_key(ids.substr(0, n)));
         ids.remove_prefix(std::min(n + 1, ids.size()));
     }
-    if (!out.shared.empty())
-    {
-        out.own = out.shared.back();
-        out.shared.pop_back();
-    }
-    return out;
+    return routing::make_prompt(parts);
 }
 
 /// Minimal target protocol for tests. Requests have the header fields Id (of
 /// the request), Target (id of the target), After (number of the last event
 /// received) and Left (remaining time in ms). An answer is foreign if its Id is
 /// not that of the request; the fields Not-Run and Replaced mark requests that
-/// were not executed. The field Prompt of a caller lists the parts of a prompt.
+/// were not executed.
 inline targets::target_protocol make_test_protocol()
 {
     targets::target_protocol protocol;
@@ -70,10 +66,6 @@
     {
         return std::optional<routing::load_report>();
     };
-    protocol.read_prompt = [](const http::header_list& headers)
-    {
-        return make_prompt(headers.find("Prompt"));
-    };
     return protocol;
 }
 
