Send nothing more to a target whose answer says that it is leaving

The entries went by the announcements in the store alone, which are late or missing. Change: the target protocol recognizes the field in responses, also in refusals and in responses to batch items; the directory takes it for an announcement that the target is leaving. Announcements of the same start that still say "ready" do not make it usable again; a later start does.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -207,6 +207,12 @@
             .add();
         guard_.handle_attempt_end(target, attempt);
     };
+    hooks.on_leaving = [this](targets::target& target)
+    {
+        // The id may belong to a later start of the target by now.
+        if (targets_.find(target.id()) == &target)
+            directory_.report_leaving(target.id());
+    };
     hooks.on_answer_begun = [this](const routing::prompt& prompt)
     {
         guard_.handle_answer_begun(prompt);
--- a/src/fleet/target_directory.cpp
+++ b/src/fleet/target_directory.cpp
@@ -41,14 +41,25 @@
         if (!same || !it.lapsed)
             return;
     }
+    if (value->started_ms != it.last.started_ms)
+        it.said_leaving = false;
     it.last = *value;
     it.lapsed = false;
-    if (value->leaving)
+    if (value->leaving || it.said_leaving)
         return mark_departed(key, it, departure_reason::leaving);
     it.in_use = true;
     hooks_.on_available(key, it.last);
 }
 
+void target_directory::report_leaving(const std::string& key)
+{
+    const auto found = entries_.find(key);
+    if (found == entries_.end())
+        return;
+    found->second.said_leaving = true;
+    mark_departed(key, found->second, departure_reason::leaving);
+}
+
 void target_directory::remove(const std::string& key, common::time_point now)
 {
     const auto found = entries_.find(key);
--- a/src/fleet/target_directory.hpp
+++ b/src/fleet/target_directory.hpp
@@ -100,6 +100,11 @@
     void announce(const std::string& key,
                   const std::optional<target_announcement>& value);
 
+    /// Applies that a target has said itself that it is leaving. Announcements
+    /// that it made since the same start no longer make it usable: the store
+    /// may still list it as ready.
+    void report_leaving(const std::string& key);
+
     /// Applies the removal of a key.
     void remove(const std::string& key, common::time_point now);
 
@@ -123,6 +128,9 @@
         target_announcement last;
         bool in_use = false;
 
+        /// True if the target has said itself that it is leaving.
+        bool said_leaving = false;
+
         /// True if the key was removed while the target stays in use for the
         /// grace period.
         bool lapsed = false;
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -122,6 +122,8 @@
     status_ = head.status;
     answered_ = true;
     replaced_ = kind == answer_kind::replaced;
+    if (!replaced_ && protocol_.is_leaving(head))
+        destination_->hooks().on_leaving(*destination_);
     not_run_ = replaced_ || kind == answer_kind::not_run;
     splits_events_ = request_.events && is_success(status_);
     if (!not_run_ && hooks_.on_head)
--- a/src/targets/protocol.hpp
+++ b/src/targets/protocol.hpp
@@ -89,6 +89,13 @@
     std::function<std::optional<routing::load_report>(
         const http::response_head&)>
         read_load;
+
+    /// Returns true if a response says that its target is leaving.
+    std::function<bool(const http::response_head&)> is_leaving =
+        [](const http::response_head&)
+    {
+        return false;
+    };
 };
 
 } // namespace tanagertrack::targets
--- a/src/targets/target_hooks.hpp
+++ b/src/targets/target_hooks.hpp
@@ -61,6 +61,10 @@
         [](target&, const ended_attempt&) {
         };
 
+    /// Called for each answer that says that its target is leaving.
+    std::function<void(target&)> on_leaving = [](target&) {
+    };
+
     /// Called when the first content of a successful response is received: an
     /// event of a stream, or a piece of another body.
     std::function<void(const routing::prompt&)> on_answer_begun =
--- a/test/entry/crashing_fleet.hpp
+++ b/test/entry/crashing_fleet.hpp
@@ -15,8 +15,10 @@
 #include <boost/asio/post.hpp>
 
 #include <cstddef>
+#include <iterator>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,7 +41,8 @@
             [this, &context, answers_begin](const std::string& request)
         {
             const auto head =
-                chunked_head(200, answers_to(field_of(request, "Id")));
+                chunked_head(200, answers_to(field_of(request, "Id")) +
+                                      (is_leaving_ ? "Leaving: 1\r\n" : ""));
             if (!request.starts_with("POST /deadly"))
                 return scripted_answer{
                     head + chunk(event(1, "a") + event(2, "b")) + chunk("")};
@@ -59,6 +62,12 @@
         return crashed_;
     }
 
+    /// Makes the engine say in each answer that it is leaving.
+    void set_leaving()
+    {
+        is_leaving_ = true;
+    }
+
     scripted_server& server()
     {
         return server_;
@@ -68,6 +77,7 @@
     std::string id_;
     scripted_server server_;
     bool crashed_ = false;
+    bool is_leaving_ = false;
 };
 
 /// An entry without its edge.
@@ -196,6 +206,28 @@
         return answer;
     }
 
+    /// Makes an engine, numbered from 0, say that it is leaving.
+    void set_leaving(std::size_t engine)
+    {
+        engine_at(engine).set_leaving();
+    }
+
+    /// Number of requests that an engine has received.
+    std::size_t requests_of(std::size_t engine)
+    {
+        return engine_at(engine).server().requests.size();
+    }
+
+    /// Announces an engine once more, as ready, to all entries.
+    void announce_again(std::size_t engine)
+    {
+        auto& it = engine_at(engine);
+        auto announcement = make_announcement(it.server().address(), "s", 8);
+        announcement.sequence = 2;
+        for (const auto& entry : entries_)
+            entry->core.directory().announce(it.id(), announcement);
+    }
+
     /// Number of engines that have crashed.
     std::size_t crashes() const
     {
@@ -274,6 +306,11 @@
             announce(*it, engines_.back());
     }
 
+    crashing_engine& engine_at(std::size_t index)
+    {
+        return *std::next(engines_.begin(), static_cast<std::ptrdiff_t>(index));
+    }
+
     static void announce(fleet_entry& entry, crashing_engine& engine)
     {
         entry.core.directory().announce(
--- a/test/fleet/test_target_directory.cpp
+++ b/test/fleet/test_target_directory.cpp
@@ -53,6 +53,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(target_directory, fixture)
 
+// Guards against a target that says that it is leaving and is used again
+// because its announcements still list it as ready.
+BOOST_AUTO_TEST_CASE(target_that_said_that_it_is_leaving_is_used_after_a_start)
+{
+    directory.announce("a", make(1));
+    directory.report_leaving("a");
+    BOOST_TEST(in_use.empty());
+    directory.announce("a", make(2));
+    BOOST_TEST(in_use.empty());
+    directory.announce("a", make(1, false, 2000));
+    BOOST_TEST(in_use.size() == 1U);
+    directory.report_leaving("unknown");
+}
+
 // Guards against a leaving target that is used again because of a delayed
 // write.
 BOOST_AUTO_TEST_CASE(older_announcement_is_ignored)
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -174,6 +174,18 @@
                 answer_kind::foreign));
 }
 
+BOOST_AUTO_TEST_CASE(leaving_target_is_recognized_by_a_field_of_its_response)
+{
+    const auto protocol = platform::make_engine_protocol();
+    BOOST_TEST(
+        protocol.is_leaving(answer_with(200, {{"Server-Leaving", "1"}})));
+    BOOST_TEST(
+        protocol.is_leaving(answer_with(503, {{"server-leaving", "1"}})));
+    BOOST_TEST(!protocol.is_leaving(answer_with(200, {})));
+    BOOST_TEST(
+        !protocol.is_leaving(answer_with(200, {{"Server-Leaving", "0"}})));
+}
+
 BOOST_AUTO_TEST_CASE(load_field_of_a_response_is_parsed)
 {
     const auto protocol = platform::make_engine_protocol();
--- a/test/support/test_protocol.hpp
+++ b/test/support/test_protocol.hpp
@@ -30,7 +30,7 @@
 /// the request), Target (id of the target), After (number of the last event
 /// received) and Left (remaining time in ms). An answer is foreign if its Id is
 /// not that of the request; the fields Not-Run and Replaced mark requests that
-/// were not executed.
+/// were not executed, Leaving a target that is leaving.
 inline targets::target_protocol make_test_protocol()
 {
     targets::target_protocol protocol;
@@ -66,6 +66,10 @@
     {
         return std::optional<routing::load_report>();
     };
+    protocol.is_leaving = [](const http::response_head& head)
+    {
+        return head.headers.contains("Leaving");
+    };
     return protocol;
 }
 
