Do not take a stream that ends without any event for a complete one

Cause: a response may have no length and end with its connection. A target that crashes after the head of such a response looks like one that had nothing to send, so that its caller got an empty stream as complete, and the crash was not reported. Change: such an attempt has failed with "no_events". A response with a length, and one that has sent events, is judged as before. Result: the new test failed before (outcome complete) and passes.

--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -126,6 +126,8 @@
         destination_->hooks().on_leaving(*destination_);
     not_run_ = replaced_ || kind == answer_kind::not_run;
     splits_events_ = request_.events && is_success(status_);
+    ends_with_connection_ = !head.headers.contains("Content-Length") &&
+                            !head.headers.contains("Transfer-Encoding");
     if (!not_run_ && hooks_.on_head)
         hooks_.on_head(head);
 }
@@ -184,6 +186,12 @@
         return finish({outcome::failed, status_,
                        make_error_code(result_code::protocol_error),
                        "event_cut"});
+
+    // A target that crashes at the start of its answer ends the connection too.
+    if (splits_events_ && ends_with_connection_ && !content_received_)
+        return finish({outcome::failed, status_,
+                       make_error_code(result_code::connection_lost),
+                       "no_events"});
     finish({outcome::complete, status_, {}, "complete"});
 }
 
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -211,6 +211,9 @@
     /// True if another process responds at the target's address.
     bool replaced_ = false;
 
+    /// True if the response has no length and ends with its connection.
+    bool ends_with_connection_ = false;
+
     /// True if the body is passed on event by event.
     bool splits_events_ = false;
     bool ended_ = false;
--- a/test/targets/test_attempt.cpp
+++ b/test/targets/test_attempt.cpp
@@ -217,6 +217,23 @@
     BOOST_TEST(body == "all of it");
 }
 
+// Guards against taking a target that crashed at the start of its answer for
+// one that had nothing to send.
+BOOST_AUTO_TEST_CASE(stream_without_a_length_and_without_events_ends_as_failed)
+{
+    const auto head = "HTTP/1.1 200 OK\r\n" + answers_to("a") + "\r\n";
+    server.add(head, true);
+    BOOST_TEST((run("a", true).result == outcome::failed));
+    server.add(head + "id: 1\ndata: x\n\nid: 2\nda", true);
+    BOOST_TEST((run("a", true).result == outcome::failed));
+    server.add(head + "id: 1\ndata: x\n\n", true);
+    BOOST_TEST((run("a", true).result == outcome::complete));
+
+    // With a length, the target has said itself that there is nothing.
+    server.add(whole_answer(200, "", answers_to("a")));
+    BOOST_TEST((run("a", true).result == outcome::complete));
+}
+
 BOOST_AUTO_TEST_CASE(bytes_that_are_not_http_end_as_failed)
 {
     server.add("\x01\x02garbage\r\n\r\n", true);
