Drop verdicts that nobody needs any more, and list parts by one function

Cause: a verdict on a part that no caller uses any more would have stayed in the store for ever. Two functions listed parts of prompts for the log.

--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -119,7 +119,7 @@
         {{"request_id", call_.id},
          {"route", call_.route->name},
          {"version", call_.configuration->version()},
-         {"parts", routing::list_shared_parts(call_.prompt)},
+         {"parts", routing::list_parts(call_.prompt.shared)},
          {"target", destination->id()},
          {"send", sends_},
          {"wait_ms", wait.count()},
@@ -367,7 +367,7 @@
 {
     common::log_info("request_quarantined",
                      {{"request_id", call_.id},
-                      {"parts", routing::list_shared_parts(call_.prompt)},
+                      {"parts", routing::list_parts(call_.prompt.shared)},
                       {"runs", runs_},
                       {"retry_after_ms", retry_after.count()}});
     const failure cause{result_code::prompt_quarantined, "prompt_quarantined"};
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -87,7 +87,7 @@
             }
             const auto lifted = std::move(value);
             verdicts_.erase(at);
-            hooks_.on_lifted(lifted);
+            hooks_.on_lifted(lifted, "answered");
         }
     }
     return found;
@@ -179,10 +179,27 @@
     verdicts_.erase(part);
 }
 
+void part_quarantine::drop_unused_verdicts(common::time_point now)
+{
+    for (auto it = verdicts_.begin(); it != verdicts_.end();)
+    {
+        const auto at = it++;
+        const auto used = std::max(at->second.ends, at->second.probe_ends);
+        if (now < used + settings_.unused_time)
+            continue;
+        const auto dropped = std::move(at->second);
+        verdicts_.erase(at);
+        hooks_.on_lifted(dropped, "unused");
+    }
+}
+
 std::optional<common::time_point>
 part_quarantine::run_checks(common::time_point now)
 {
+    drop_unused_verdicts(now);
     std::optional<common::time_point> next;
+    if (!verdicts_.empty())
+        next = now + settings_.unused_time;
     std::map<routing::part_key, common::time_point> unconfirmed;
     for (const auto& cause : evidence_.find_causes(known_causes(), now))
     {
--- a/src/quarantine/part_quarantine.hpp
+++ b/src/quarantine/part_quarantine.hpp
@@ -50,6 +50,10 @@
     /// Time for which the result of a request on probation is waited for.
     std::chrono::milliseconds probe_time{5000};
 
+    /// Time after the end of a term after which a verdict is dropped if no
+    /// request with its parts has come.
+    std::chrono::milliseconds unused_time{std::chrono::hours(24)};
+
     /// Maximum number of verdicts; the one that ends first is dropped for a new
     /// one.
     std::size_t max_verdicts = 256;
@@ -61,8 +65,8 @@
     /// Called after a verdict was reached, extended or narrowed down.
     std::function<void(const verdict&)> on_verdict;
 
-    /// Called after a verdict was lifted, as its parts have proved sound.
-    std::function<void(const verdict&)> on_lifted;
+    /// Called after a verdict was lifted, with a short reason for the log.
+    std::function<void(const verdict&, std::string_view reason)> on_lifted;
 
     /// Returns true if this process may send requests on probation. True in one
     /// process at a time, so that a probation costs one target.
@@ -115,8 +119,8 @@
     /// Applies that another process has lifted the verdict of a part.
     void import_lifting(routing::part_key part);
 
-    /// Reaches verdicts on causes that are confirmed. Returns the time at which
-    /// the next one may be due, if any.
+    /// Reaches verdicts on causes that are confirmed, and drops unused ones.
+    /// Returns the time of the next check, if one is needed.
     std::optional<common::time_point> run_checks(common::time_point now);
 
     /// Verdicts by the part that identifies their cause.
@@ -129,6 +133,7 @@
     std::chrono::milliseconds term_length(std::uint32_t terms) const;
     void begin_term(verdict& value, common::time_point now) const;
     void add_verdict(const crash_cause& cause, common::time_point now);
+    void drop_unused_verdicts(common::time_point now);
 
     /// Extends the verdicts on probation that a crash confirms.
     void extend_verdicts(const crash_report& report, common::time_point now);
--- a/src/quarantine/prompt_guard.cpp
+++ b/src/quarantine/prompt_guard.cpp
@@ -38,14 +38,6 @@
         list.pop_front();
 }
 
-std::string list_parts(const part_set& parts)
-{
-    std::string text;
-    for (const auto part : parts)
-        text += (text.empty() ? "" : ",") + routing::to_string(part);
-    return text;
-}
-
 } // namespace
 
 prompt_guard::prompt_guard(boost::asio::io_context& context,
@@ -73,7 +65,7 @@
         common::log_warning(
             "prompt_part_quarantined",
             {{"part", routing::to_string(it.cause.part)},
-             {"parts", list_parts(it.cause.parts)},
+             {"parts", routing::list_parts(it.cause.parts)},
              {"exact", it.cause.exact ? "yes" : "no"},
              {"terms", it.terms},
              {"term_ms",
@@ -81,11 +73,11 @@
                   .count()}});
         update_record(it.cause.part);
     };
-    hooks.on_lifted = [this](const verdict& it)
+    hooks.on_lifted = [this](const verdict& it, std::string_view reason)
     {
         common::log_info(
             "prompt_part_released",
-            {{"part", routing::to_string(it.cause.part)}, {"why", "answered"}});
+            {{"part", routing::to_string(it.cause.part)}, {"why", reason}});
         update_record(it.cause.part);
     };
     hooks.may_probe = [this]
@@ -103,7 +95,7 @@
         if (!quarantine_.verdicts().contains(cause.part))
             common::log_warning("prompt_part_quarantined",
                                 {{"part", routing::to_string(cause.part)},
-                                 {"parts", list_parts(cause.parts)},
+                                 {"parts", routing::list_parts(cause.parts)},
                                  {"terms", terms},
                                  {"from", "store"}});
         quarantine_.import_verdict(cause, terms, common::clock::now());
@@ -150,7 +142,7 @@
     {
         common::log_info("target_crash_seen",
                          {{"target", target},
-                          {"parts", routing::list_shared_parts(it.prompt)},
+                          {"parts", routing::list_parts(it.prompt.shared)},
                           {"answer_begun", it.answer_begun ? "yes" : "no"}});
         own_crashes_.push_back({it, common::clock::now()});
         add_crash(it);
--- a/src/routing/prompt.cpp
+++ b/src/routing/prompt.cpp
@@ -40,10 +40,10 @@
     return text.data();
 }
 
-std::string list_shared_parts(const prompt& value)
+std::string list_parts(std::span<const part_key> parts)
 {
     std::string text;
-    for (const auto part : value.shared)
+    for (const auto part : parts)
         text += (text.empty() ? "" : ",") + to_string(part);
     return text.empty() ? "-" : text;
 }
--- a/src/routing/prompt.hpp
+++ b/src/routing/prompt.hpp
@@ -58,9 +58,8 @@
 /// Returns the key as 16 hexadecimal digits, as in logs.
 std::string to_string(part_key part);
 
-/// Returns the keys of the shared parts, separated by commas; "-" if there are
-/// none.
-std::string list_shared_parts(const prompt& value);
+/// Returns the keys, separated by commas, as in logs; "-" if there are none.
+std::string list_parts(std::span<const part_key> parts);
 
 } // namespace tanagertrack::routing
 
--- a/test/quarantine/test_part_quarantine.cpp
+++ b/test/quarantine/test_part_quarantine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace tanagertrack;
@@ -85,7 +86,7 @@
     part_quarantine quarantine{
         settings,
         {.on_verdict = [this](const verdict& it) { reached.push_back(it); },
-         .on_lifted = [this](const verdict&) { ++lifted; },
+         .on_lifted = [this](const verdict&, std::string_view) { ++lifted; },
          .may_probe =
              [this]
          {
@@ -255,6 +256,19 @@
     BOOST_TEST(!refuses("c,bad,8"));
 }
 
+// Guards against records in the store of parts that no caller uses any more.
+BOOST_AUTO_TEST_CASE(verdict_without_requests_is_dropped_after_a_day)
+{
+    convict();
+    now = reached.back().ends + settings.unused_time - 1ms;
+    BOOST_TEST(quarantine.run_checks(now).has_value());
+    BOOST_TEST(lifted == 0);
+    now += 1ms;
+    quarantine.run_checks(now);
+    BOOST_TEST(lifted == 1);
+    BOOST_TEST(quarantine.verdicts().empty());
+}
+
 // Guards against one target lost for each entry after a term.
 BOOST_AUTO_TEST_CASE(only_the_leader_sends_after_the_term)
 {
