Remember which crash reports were refuted

Cause: entries repeat a report for 2 s, as messages may be lost. A copy that came after an answer had refuted the report was taken for a new one and stayed until it expired. Change: the ids of the last 2,048 reports are remembered apart from the reports.

--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -70,16 +70,27 @@
 bool crash_evidence::add(const crash_report& report, common::time_point now)
 {
     drop_old(now);
-    const bool known = std::ranges::find(reports_, report.id,
-                                         &crash_report::id) != reports_.end();
-    if (known || report.at + settings_.lifetime < now || report.prompt.own == 0)
+    if (known_ids_.contains(report.id) ||
+        report.at + settings_.lifetime < now || report.prompt.own == 0)
         return false;
     if (reports_.size() >= settings_.max_reports)
         reports_.erase(reports_.begin());
     reports_.push_back(report);
+    remember(report.id);
     return true;
 }
 
+void crash_evidence::remember(std::uint64_t id)
+{
+    if (known_order_.size() >= settings_.max_known_ids)
+    {
+        known_ids_.erase(known_order_.front());
+        known_order_.pop_front();
+    }
+    known_ids_.insert(id);
+    known_order_.push_back(id);
+}
+
 void crash_evidence::drop_old(common::time_point now)
 {
     std::erase_if(reports_, [this, now](const auto& it)
--- a/src/quarantine/crash_evidence.hpp
+++ b/src/quarantine/crash_evidence.hpp
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
+#include <unordered_set>
 #include <vector>
 
 namespace tanagertrack::quarantine
@@ -27,6 +29,10 @@
     /// Maximum number of reports; the oldest one is dropped for a new one.
     std::size_t max_reports = 256;
 
+    /// Number of reports whose ids are remembered, so that their copies are
+    /// ignored also after an answer has refuted them.
+    std::size_t max_known_ids = 2048;
+
     /// Older reports are dropped.
     std::chrono::milliseconds lifetime{std::chrono::minutes(5)};
 
@@ -102,6 +108,7 @@
     struct suspicion;
 
     void drop_old(common::time_point now);
+    void remember(std::uint64_t id);
     bool is_same_crash(const crash_report& a, const crash_report& b) const;
 
     /// Returns true if another request explains the crash better.
@@ -122,6 +129,10 @@
     evidence_settings settings_;
     const answered_parts& answered_;
     std::vector<crash_report> reports_;
+
+    // Ids of the last reports; the queue has their order.
+    std::unordered_set<std::uint64_t> known_ids_;
+    std::deque<std::uint64_t> known_order_;
 };
 
 } // namespace tanagertrack::quarantine
--- a/test/quarantine/test_part_quarantine.cpp
+++ b/test/quarantine/test_part_quarantine.cpp
@@ -176,6 +176,22 @@
     BOOST_TEST(!refuses("a,8"));
 }
 
+// Guards against a copy of a report that arrives after an answer has refuted
+// it.
+BOOST_AUTO_TEST_CASE(copies_of_a_refuted_report_are_ignored)
+{
+    crash_report report;
+    report.id = 7;
+    report.target = 1;
+    report.prompt = make_prompt("a,1");
+    report.at = now;
+    BOOST_TEST(quarantine.report_crash(report, now));
+    now += 50ms;
+    answer("a,1");
+    BOOST_TEST(!quarantine.report_crash(report, now));
+    BOOST_TEST(!quarantine.suspects(report.prompt));
+}
+
 // Guards against blaming the other requests at a target that crashes.
 BOOST_AUTO_TEST_CASE(requests_beside_the_crashing_one_are_not_suspected)
 {
