Test that all entries keep a verdict when they start anew or join

Cause: the budget of crashed targets must hold across restarts too. Change: two cases of the crashing fleet: new entries with the old store, and an entry that joins. Result: both pass on the code before this commit; no engine crashes.

--- a/test/entry/crashing_fleet.hpp
+++ b/test/entry/crashing_fleet.hpp
@@ -153,6 +153,18 @@
             add_entry();
     }
 
+    /// Starts entries and engines anew, with what the store of another fleet
+    /// holds.
+    explicit crashing_fleet(crashing_fleet& lost)
+        : answers_begin_(lost.answers_begin_), route_(lost.route_)
+    {
+        store_.model = lost.store_.model;
+        for (std::size_t n = 0; n < lost.engines_.size(); ++n)
+            add_engine();
+        for (std::size_t n = 0; n < lost.entries_.size(); ++n)
+            add_entry();
+    }
+
     ~crashing_fleet()
     {
         for (auto& it : engines_)
--- a/test/entry/test_crashing_prompts.cpp
+++ b/test/entry/test_crashing_prompts.cpp
@@ -83,4 +83,27 @@
     BOOST_TEST(count_sound_answers(it) == 20);
 }
 
+// Guards against learning anew, at the cost of engines, after the loss of all
+// entries.
+BOOST_AUTO_TEST_CASE(entries_that_all_start_anew_refuse_the_same_prompts)
+{
+    crashing_fleet lost(3, 8);
+    crash_engines(lost);
+    crashing_fleet it(lost);
+    BOOST_TEST(count_late_crashes(it) == 0U);
+    BOOST_TEST(count_sound_answers(it) == 20);
+}
+
+// Guards against an entry that joined later and crashes engines by itself.
+BOOST_AUTO_TEST_CASE(entry_that_joins_refuses_the_same_prompts)
+{
+    crashing_fleet it(2, 8);
+    crash_engines(it);
+    const auto joined = it.add_entry();
+    const auto before = it.crashes();
+    BOOST_TEST(!it.send(joined, "/deadly", "first,third,bad,j").complete);
+    BOOST_TEST(it.crashes() == before);
+    BOOST_TEST(it.send(joined, "/sound", "first,third,k").complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
