--- a/src/common/clock.hpp
+++ b/src/common/clock.hpp
@@ -28,7 +28,7 @@
 
     static time_point now()
     {
-        return source_ ? source_() : std::chrono::steady_clock::now();
+        return time_source ? time_source() : std::chrono::steady_clock::now();
     }
 
     /// Replaces the source of the time; an empty one restores the steady clock.
@@ -36,11 +36,11 @@
     /// only while no other thread reads the clock.
     static void set_source(clock_source source)
     {
-        source_ = std::move(source);
+        time_source = std::move(source);
     }
 
 private:
-    static inline clock_source source_;
+    static inline clock_source time_source;
 };
 
 /// Unix time in milliseconds. For information only: clocks of hosts may differ,
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -19,8 +19,7 @@
 {
     auto parts = routing::all_parts(prompt);
     std::ranges::sort(parts);
-    const auto repeated = std::ranges::unique(parts);
-    parts.erase(repeated.begin(), repeated.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
     return parts;
 }
 
--- a/test/quarantine/test_part_quarantine.cpp
+++ b/test/quarantine/test_part_quarantine.cpp
@@ -77,7 +77,7 @@
         BOOST_REQUIRE(refuses("c,bad,3"));
     }
 
-    const quarantine_settings settings;
+    const quarantine_settings settings{};
     std::vector<verdict> reached;
     unsigned lifted = 0;
     bool may_probe = true;
