Name the search for causes in the terms of the field

Cause: a reading of the change as a newcomer: "bystander", "judge" and "convict" say little to a reader of this code. Change: has_better_explanation, evaluate and reach_verdict. Result: behaviour as before; test_quarantine passes.

--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -123,8 +123,8 @@
     return a.target == b.target && apart < settings_.crash_duration;
 }
 
-bool crash_evidence::is_bystander(const crash_report& report,
-                                  std::span<const crash_cause> known) const
+bool crash_evidence::has_better_explanation(
+    const crash_report& report, std::span<const crash_cause> known) const
 {
     const auto is_explained = [known](const crash_report& it)
     {
@@ -147,7 +147,7 @@
     std::map<part_key, suspicion> by_part;
     for (const auto& report : reports_)
     {
-        if (is_bystander(report, known))
+        if (has_better_explanation(report, known))
             continue;
         std::size_t position = 0;
         for (const auto part : routing::all_parts(report.prompt))
@@ -195,7 +195,7 @@
 }
 
 std::optional<crash_cause>
-crash_evidence::judge(const suspicion& candidate) const
+crash_evidence::evaluate(const suspicion& candidate) const
 {
     if (weigh_crashes(candidate) < settings_.required_weight)
         return std::nullopt;
@@ -227,7 +227,7 @@
 {
     for (const auto& candidate : collect_suspicions(known))
     {
-        const auto cause = judge(candidate);
+        const auto cause = evaluate(candidate);
         if (cause && !is_covered(cause->parts, known))
             return cause;
     }
--- a/src/quarantine/crash_evidence.hpp
+++ b/src/quarantine/crash_evidence.hpp
@@ -111,15 +111,16 @@
     void remember(std::uint64_t id);
     bool is_same_crash(const crash_report& a, const crash_report& b) const;
 
-    /// Returns true if another request explains the crash better.
-    bool is_bystander(const crash_report& report,
-                      std::span<const crash_cause> known) const;
+    /// Returns true if another request at the same target explains the crash
+    /// better than this one.
+    bool has_better_explanation(const crash_report& report,
+                                std::span<const crash_cause> known) const;
 
     std::vector<suspicion>
     collect_suspicions(std::span<const crash_cause> known) const;
 
     /// Returns the cause if there is enough evidence against the part.
-    std::optional<crash_cause> judge(const suspicion& candidate) const;
+    std::optional<crash_cause> evaluate(const suspicion& candidate) const;
 
     /// Returns the first cause that `known` causes do not cover.
     std::optional<crash_cause>
--- a/test/quarantine/test_part_quarantine.cpp
+++ b/test/quarantine/test_part_quarantine.cpp
@@ -68,7 +68,7 @@
     }
 
     /// Three crashes on two prompts that share "bad", and the verdict.
-    void convict()
+    void reach_verdict()
     {
         crash("a,bad,1", 1);
         crash("a,bad,1", 2);
@@ -101,7 +101,7 @@
 // Guards against requests that crash one target after the other.
 BOOST_AUTO_TEST_CASE(part_of_several_crashing_prompts_is_refused)
 {
-    convict();
+    reach_verdict();
     BOOST_REQUIRE(reached.size() == 1);
     BOOST_TEST((reached[0].cause.parts == set_of({"bad"})));
     BOOST_TEST(!refuses("a,good,4"));
@@ -234,7 +234,7 @@
 // request that was sent before shows that it was wrong.
 BOOST_AUTO_TEST_CASE(answer_lifts_a_verdict)
 {
-    convict();
+    reach_verdict();
     answer("c,bad,3");
     BOOST_TEST(lifted == 1);
     BOOST_TEST(!refuses("c,bad,4"));
@@ -243,7 +243,7 @@
 // Guards against an answer from before the crashes that lifts a verdict.
 BOOST_AUTO_TEST_CASE(earlier_answer_does_not_lift_a_verdict)
 {
-    convict();
+    reach_verdict();
     const sound_part earlier{key("bad"), now - 10s};
     quarantine.report_sound({&earlier, 1});
     BOOST_TEST(lifted == 0);
@@ -254,7 +254,7 @@
 // whether it still holds.
 BOOST_AUTO_TEST_CASE(one_request_at_a_time_is_sent_after_the_term)
 {
-    convict();
+    reach_verdict();
     now += settings.first_term;
     BOOST_TEST(!refuses("c,bad,4"));
     BOOST_TEST(refuses("c,bad,5"));
@@ -275,7 +275,7 @@
 // Guards against records in the store of parts that no caller uses any more.
 BOOST_AUTO_TEST_CASE(verdict_without_requests_is_dropped_after_a_day)
 {
-    convict();
+    reach_verdict();
     now = reached.back().ends + settings.unused_time - 1ms;
     BOOST_TEST(quarantine.run_checks(now).has_value());
     BOOST_TEST(lifted == 0);
@@ -288,7 +288,7 @@
 // Guards against one target lost for each entry after a term.
 BOOST_AUTO_TEST_CASE(only_the_leader_sends_after_the_term)
 {
-    convict();
+    reach_verdict();
     may_probe = false;
     now += settings.first_term + 1h;
     BOOST_TEST(refuses("c,bad,4"));
