Keep the items of a job whose route is not known yet

Cause: the look-up of an item's service returned an empty name both for "no configuration is known" and for "the configuration has no such route". The restarted process reads the log of jobs, takes the jobs of its host over, has no configuration, and after 3 s ends the items as those of a removed route. A process with a configuration older than the one under which another process accepted a job did the same.

Change: find_item_route tells found, removed and unknown apart. A route counts as removed only in a configuration that is at least as new as the one under which the job was submitted. That version is a new field of the commit record and of checkpoints; records without it are read as before. Two further tests use the new field: items_wait_for_the_configuration_of_their_job and route_is_removed_only_if_the_configuration_is_new_enough.

Why it works: an item can only be ended for its route by a process that has seen the operator's list without it.

--- a/src/batch/intake.cpp
+++ b/src/batch/intake.cpp
@@ -146,6 +146,7 @@
     commit.set_route(terms_.route);
     commit.set_host(terms_.host);
     commit.set_team(terms_.team);
+    commit.set_configuration_version(terms_.configuration_version);
     commit.set_member(owner_.jobs_.member());
     commit.set_item_count(items_);
     commit.set_created_ms(common::unix_time_ms());
--- a/src/batch/intake.hpp
+++ b/src/batch/intake.hpp
@@ -36,6 +36,9 @@
     std::string host;
     std::string team;
 
+    /// Version of the configuration with this route; 0 without a route.
+    std::uint64_t configuration_version = 0;
+
     /// Maximum number of tokens of the route's waiting items; 0: no limit.
     std::uint64_t max_waiting_tokens = 0;
     std::chrono::milliseconds due_after{0};
--- a/src/batch/item_route.cpp
+++ b/src/batch/item_route.cpp
@@ -3,22 +3,18 @@
 namespace tanagertrack::batch
 {
 
-std::string find_item_service(const fleet::configuration* configuration,
-                              std::string_view host, std::string_view path,
-                              std::uint64_t number)
+namespace
 {
-    if (configuration == nullptr)
-        return {};
-    const auto* route = configuration->find_route(host, path);
-    if (route == nullptr || route->kind != fleet::route_kind::batch)
-        return {};
 
-    // Services are selected in proportion to their weights.
+/// Returns the service that a route selects for an item: services are selected
+/// in proportion to their weights. Empty if the route has no service.
+std::string select_service(const fleet::route& route, std::uint64_t number)
+{
     std::uint64_t total_weight = 0;
-    for (const auto& it : route->services)
+    for (const auto& it : route.services)
         total_weight += it.weight;
     auto remainder = total_weight == 0 ? 0 : number % total_weight;
-    for (const auto& it : route->services)
+    for (const auto& it : route.services)
     {
         if (remainder < it.weight)
             return it.service;
@@ -27,6 +23,23 @@
     return {};
 }
 
+} // namespace
+
+item_route find_item_route(const fleet::configuration* configuration,
+                           const job_run& run, const item_run& item)
+{
+    if (!item.data.service().empty())
+        return {route_status::found, item.data.service()};
+    if (configuration == nullptr ||
+        configuration->version() < run.configuration_version)
+        return {route_status::unknown, {}};
+    const auto* route = configuration->find_route(run.host, item.data.path());
+    if (route == nullptr || route->kind != fleet::route_kind::batch)
+        return {route_status::removed, {}};
+    return {route_status::found,
+            select_service(*route, run.order + item.index)};
+}
+
 std::uint32_t find_max_failures(const fleet::configuration* configuration,
                                 const state::batch_job* job,
                                 std::uint32_t default_max_failures)
--- a/src/batch/item_route.hpp
+++ b/src/batch/item_route.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERTRACK_BATCH_ITEM_ROUTE_HPP
 #define TANAGERTRACK_BATCH_ITEM_ROUTE_HPP
 
+#include "batch/item_run.hpp"
 #include "fleet/configuration.hpp"
 #include "state/job_table.hpp"
 
@@ -8,17 +9,15 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace tanagertrack::batch
 {
 
-/// Returns the service that the batch route of `host` and `path` selects for an
-/// item; empty if there is no such route. The same `number` selects the same
-/// service until the route changes.
-std::string find_item_service(const fleet::configuration* configuration,
-                              std::string_view host, std::string_view path,
-                              std::uint64_t number);
+/// Returns the route of an item: the service that the item names, or the one
+/// that the batch route of its job's host and its path selects. The same
+/// service is selected until the route changes. `configuration` may be null.
+item_route find_item_route(const fleet::configuration* configuration,
+                           const job_run& run, const item_run& item);
 
 /// Returns the maximum number of failures of an item: that of the job's route,
 /// or `default_max_failures` if the job or the route is unknown.
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -44,6 +44,27 @@
     granted
 };
 
+/// What a configuration says about the route of an item.
+enum class route_status : std::uint8_t
+{
+    /// There is no configuration, or it is older than the one under which the
+    /// job was submitted: the route may be in a later one.
+    unknown,
+
+    /// The operator has removed the route.
+    removed,
+    found
+};
+
+/// Route of an item.
+struct item_route
+{
+    route_status status = route_status::unknown;
+
+    /// Service that runs the item, if the route was found.
+    std::string service;
+};
+
 /// An item that this process runs, through all its attempts.
 struct item_run
     : boost::intrusive_ref_counter<item_run, boost::thread_unsafe_counter>
@@ -139,6 +160,9 @@
 {
     std::string id;
     std::string host;
+
+    /// See `state::batch_job`.
+    std::uint64_t configuration_version = 0;
     common::time_point due;
 
     /// Order among jobs that are due at the same time.
@@ -147,7 +171,8 @@
     /// Items that are loaded and have not ended, by index.
     std::map<std::uint32_t, item_run_ptr> items;
 
-    /// Time since which the configuration has no route for the job.
+    /// Time since which the configuration has no route for an item of the job,
+    /// although it is as new as the one under which the job was submitted.
     std::optional<common::time_point> route_missing_since;
 };
 
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -148,6 +148,7 @@
     auto& run = runs_[job.id];
     run.id = job.id;
     run.host = job.host;
+    run.configuration_version = job.configuration_version;
     run.order = job.accepted_at;
 
     // Wall clocks may be wrong: the age is limited to the range from zero to
@@ -336,14 +337,14 @@
         if (item->closed)
             continue;
         auto& run = runs_.find(item->job)->second;
-        const auto service = find_service(run, *item);
-        if (busy_services.contains(service) ||
-            !may_start(run, item, service, now))
+        const auto route = find_route(run, *item);
+        if (busy_services.contains(route.service) ||
+            !may_start(run, item, route.status, now))
             continue;
-        const auto target = choose_target(*item, service, now);
+        const auto target = choose_target(*item, route.service, now);
         if (!target)
         {
-            busy_services.insert(service);
+            busy_services.insert(route.service);
             continue;
         }
         pending_.erase(item->rank);
@@ -352,15 +353,17 @@
 }
 
 bool runner::may_start(job_run& run, const item_run_ptr& item,
-                       const std::string& service, common::time_point now)
+                       route_status route, common::time_point now)
 {
-    if (service.empty())
+    if (route == route_status::removed)
     {
         if (!run.route_missing_since)
             run.route_missing_since = now;
         return false;
     }
     run.route_missing_since.reset();
+    if (route == route_status::unknown)
+        return false;
     if (const auto refused_for = environment_.time_refused(item->prompt))
     {
         hold_refused_item(run, item, *refused_for, now);
@@ -396,12 +399,9 @@
         schedule_start();
 }
 
-std::string runner::find_service(const job_run& run, const item_run& item) const
+item_route runner::find_route(const job_run& run, const item_run& item) const
 {
-    if (!item.data.service().empty())
-        return item.data.service();
-    return find_item_service(environment_.configuration().get(), run.host,
-                             item.data.path(), run.order + item.index);
+    return find_item_route(environment_.configuration().get(), run, item);
 }
 
 targets::target_ptr runner::choose_target(const item_run& item,
@@ -719,7 +719,7 @@
                 break;
             job = item->job;
             const auto& run = runs_.find(item->job)->second;
-            groups.push_back({find_service(run, *item), rank.urgency, 0});
+            groups.push_back({find_route(run, *item).service, rank.urgency, 0});
         }
         ++groups.back().count;
     }
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -121,13 +121,13 @@
     // Items.
     void remove_item(job_run& run, const item_run_ptr& item);
     void handle_item_result(const std::string& job, std::uint32_t index);
-    std::string find_service(const job_run& run, const item_run& item) const;
+    item_route find_route(const job_run& run, const item_run& item) const;
 
     /// Returns true if the item may start now. Otherwise notes that the job has
-    /// no route, or requests the intent of an item that must not run more than
-    /// once.
-    bool may_start(job_run& run, const item_run_ptr& item,
-                   const std::string& service, common::time_point now);
+    /// lost its route, or requests the intent of an item that must not run more
+    /// than once.
+    bool may_start(job_run& run, const item_run_ptr& item, route_status route,
+                   common::time_point now);
 
     /// Lets an item wait whose prompt crashes targets, and ends it once the
     /// route says that it may be given up.
--- a/src/state/job_checkpoint.cpp
+++ b/src/state/job_checkpoint.cpp
@@ -133,6 +133,7 @@
         head.set_created_ms(from.created_ms);
         head.set_due_after_ms(from.due_after_ms);
         head.set_keep_ms(from.keep_ms);
+        head.set_configuration_version(from.configuration_version);
         head.set_ended(from.cancelled);
         if (from.results_before_cancellation)
             head.set_results_before_end(*from.results_before_cancellation);
@@ -239,6 +240,7 @@
             it.created_ms = from.created_ms();
             it.due_after_ms = from.due_after_ms();
             it.keep_ms = from.keep_ms();
+            it.configuration_version = from.configuration_version();
             it.cancelled = from.ended();
             if (from.has_results_before_end())
                 it.results_before_cancellation = from.results_before_end();
--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -161,6 +161,7 @@
     it.keep_ms = commit.keep_ms();
     it.team = commit.team();
     it.content_hash = commit.content_hash();
+    it.configuration_version = commit.configuration_version();
     it.items = std::move(from.items);
     it.parts = std::move(from.parts);
     accepted_ids_[offset] = it.id;
--- a/src/state/job_table.hpp
+++ b/src/state/job_table.hpp
@@ -87,6 +87,10 @@
     std::string team;
     std::string content_hash;
 
+    /// Version of the configuration under which the job was submitted; 0 if it
+    /// is unknown or the items name their services.
+    std::uint64_t configuration_version = 0;
+
     /// Id of the process that runs the job.
     std::string runner;
 
--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -119,8 +119,10 @@
         run_ready(cluster.context);
     }
 
+    /// Sets a configuration with the route "r".
     void add_route(std::uint32_t max_attempts,
-                   std::chrono::milliseconds expires_after = {})
+                   std::chrono::milliseconds expires_after = {},
+                   std::uint64_t version = 1)
     {
         fleet::route it;
         it.name = "r";
@@ -131,7 +133,15 @@
         it.max_attempts = max_attempts;
         it.expires_after = expires_after;
         configuration = std::make_shared<fleet::configuration>(
-            1, std::vector{it}, std::vector<fleet::service>(),
+            version, std::vector{it}, std::vector<fleet::service>(),
+            fleet::request_limits());
+    }
+
+    /// Sets a configuration without routes.
+    void remove_routes(std::uint64_t version)
+    {
+        configuration = std::make_shared<fleet::configuration>(
+            version, std::vector<fleet::route>(), std::vector<fleet::service>(),
             fleet::request_limits());
     }
 
@@ -148,6 +158,13 @@
         return run_until(cluster.context, condition);
     }
 
+    /// Runs handlers for several times the timeout after which the items of a
+    /// removed route end.
+    void run_past_missing_route_timeout()
+    {
+        run_for(cluster.context, 4 * settings.missing_route_timeout);
+    }
+
     static proto::JobItem make_item(const std::string& id,
                                     std::uint32_t tokens = 10)
     {
--- a/test/batch/test_decisions.cpp
+++ b/test/batch/test_decisions.cpp
@@ -167,14 +167,44 @@
     route.services = {{"a", 3}, {"b", 1}};
     const fleet::configuration configuration(1, std::vector{route}, {},
                                              fleet::request_limits());
+    batch::job_run job;
+    job.host = "h";
+    batch::item_run item;
+    item.data.set_path("/x");
     std::map<std::string, unsigned> counts;
-    for (std::uint64_t n = 0; n < 40; ++n)
-        ++counts[batch::find_item_service(&configuration, "h", "/x", n)];
+    for (item.index = 0; item.index < 40; ++item.index)
+    {
+        const auto it = batch::find_item_route(&configuration, job, item);
+        BOOST_TEST((it.status == batch::route_status::found));
+        ++counts[it.service];
+    }
     BOOST_TEST(counts["a"] == 30);
     BOOST_TEST(counts["b"] == 10);
+}
+
+// Guards against a route that is taken for a removed one because the
+// configuration is missing, or older than the job.
+BOOST_AUTO_TEST_CASE(route_is_removed_only_if_the_configuration_is_new_enough)
+{
+    const fleet::configuration configuration(5, {}, {},
+                                             fleet::request_limits());
+    batch::job_run job;
+    job.host = "h";
+    batch::item_run item;
+    item.data.set_path("/x");
+    const auto find_status =
+        [&](const fleet::configuration* it, std::uint64_t submitted_version)
+    {
+        job.configuration_version = submitted_version;
+        return batch::find_item_route(it, job, item).status;
+    };
+    BOOST_TEST((find_status(nullptr, 0) == batch::route_status::unknown));
+    BOOST_TEST(
+        (find_status(&configuration, 6) == batch::route_status::unknown));
     BOOST_TEST(
-        batch::find_item_service(&configuration, "other", "/x", 0).empty());
-    BOOST_TEST(batch::find_item_service(nullptr, "h", "/x", 0).empty());
+        (find_status(&configuration, 5) == batch::route_status::removed));
+    item.data.set_service("s");
+    BOOST_TEST((find_status(nullptr, 6) == batch::route_status::found));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -380,24 +380,43 @@
 
 BOOST_AUTO_TEST_CASE(items_of_a_removed_route_are_dead)
 {
-    one.configuration = std::make_shared<fleet::configuration>(
-        2, std::vector<fleet::route>(), std::vector<fleet::service>(),
-        fleet::request_limits());
+    one.remove_routes(2);
     BOOST_TEST((run().state == proto::ITEM_DEAD));
     BOOST_TEST(server.requests.empty());
 }
 
+// Guards against items of an accepted job that are given up by a process which
+// has read the log of jobs, but not yet the configuration: to it, no route was
+// removed.
 BOOST_AUTO_TEST_CASE(items_wait_while_no_configuration_is_known)
 {
     const auto configuration = std::exchange(one.configuration, nullptr);
     BOOST_TEST(one.accept("j", {one.make_item("a")}));
-    run_for(context, 20ms);
+    one.run_past_missing_route_timeout();
+    BOOST_TEST(one.job("j")->results.empty());
     BOOST_TEST(server.requests.empty());
     one.configuration = configuration;
     BOOST_TEST(one.until([&] { return one.finished("j"); }));
     BOOST_TEST((read(one, "j").front().state == proto::ITEM_DONE));
 }
 
+// Guards against items that are given up by a process whose configuration is
+// older than the one under which another process accepted their job.
+BOOST_AUTO_TEST_CASE(items_wait_for_the_configuration_of_their_job)
+{
+    one.until([&] { return one.jobs.is_current(); });
+    one.remove_routes(4);
+    auto terms = one.make_terms("j");
+    terms.configuration_version = 5;
+    const auto result = one.submit(terms, {one.make_item("a")});
+    BOOST_REQUIRE(one.until([&] { return result->has_value(); }));
+    one.run_past_missing_route_timeout();
+    BOOST_TEST(one.job("j")->results.empty());
+    one.add_route(3, {}, 5);
+    BOOST_TEST(one.until([&] { return one.finished("j"); }));
+    BOOST_TEST((read(one, "j").front().state == proto::ITEM_DONE));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace
