Continue a stream only with an answer that continues it

Cause: online::request drops the head of every answer after the first one. The status of the target that was to continue the stream was never looked at, its body was relayed, and its complete end was taken for the end of the stream. In the opposite order, the cut error answer to a caller that resumes a stream itself was continued with another target's events.

The three new tests of test_online failed on the code before, with the error's body in the caller's answer.

Change: a later answer must have the status, Content-Type and Content-Encoding of the one that the caller has begun to receive; otherwise the target is left at once and the next one is tried, or the answer is broken off. Only a successful stream is continued.

Why it works: every byte after the head of a later answer is relayed only after that head was compared, and an end counts only for an answer that was relayed.

--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -24,6 +24,11 @@
 /// Lowest HTTP status of a server error.
 constexpr unsigned first_server_error = 500;
 
+bool is_success(unsigned status)
+{
+    return status / 100 == 2;
+}
+
 std::int64_t ms_between(common::time_point from, common::time_point to)
 {
     return duration_cast<milliseconds>(to - from).count();
@@ -178,10 +183,27 @@
 
 void request::handle_head(const http::response_head& head)
 {
-    // When a stream is continued on another target, the caller already has the
-    // head from the first one.
     if (!answer_started_)
+    {
         head_ = head;
+        return;
+    }
+
+    // The caller already has the head from the first target.
+    if (!continues_answer(head))
+        leave_target({outcome::failed, head.status,
+                      make_error_code(result_code::protocol_error),
+                      "stream_not_continued"});
+}
+
+bool request::continues_answer(const http::response_head& head) const
+{
+    const auto is_same = [&](std::string_view name)
+    {
+        return head.headers.find(name) == head_.headers.find(name);
+    };
+    return head.status == head_.status && is_same("Content-Type") &&
+           is_same("Content-Encoding");
 }
 
 void request::handle_piece(std::string_view piece,
@@ -257,12 +279,29 @@
     if (!answer_started_)
         unsent_.clear();
     const failure cause{result_code::target_failed, end.reason};
-    const bool resumable = call_.repeats == fleet::repetition::resumable;
-    if (!may_run_again() || (answer_started_ && !(resumable && last_event_)))
+    if (!may_run_again() || (answer_started_ && !is_resumable_answer()))
         return fail_request(cause);
     try_next_target(cause);
 }
 
+void request::leave_target(const targets::attempt_end& reason)
+{
+    // The target cancels the request when its connection is closed.
+    const auto left = std::exchange(attempt_, nullptr);
+    left->cancel();
+    ++runs_;
+    tried_targets_.push_back(left->destination()->id());
+    handle_attempt_failure(reason);
+    if (!ended_)
+        arm_timer();
+}
+
+bool request::is_resumable_answer() const
+{
+    return call_.repeats == fleet::repetition::resumable && last_event_ &&
+           is_success(head_.status);
+}
+
 bool request::may_run_again() const
 {
     return call_.repeats != fleet::repetition::once &&
@@ -387,6 +426,7 @@
     // A silent target matters only if another one may continue the stream.
     const bool can_be_moved = attempt_ && unsent_.empty() && is_stream() &&
                               call_.repeats == fleet::repetition::resumable &&
+                              (!answer_started_ || is_resumable_answer()) &&
                               runs_ + 1 < call_.route->max_attempts;
     if (!can_be_moved)
         return common::time_point::max();
@@ -428,16 +468,9 @@
     if (now < silence_timeout_at())
         return arm_timer();
 
-    // The silent target cancels the request when its connection is closed.
-    const auto silent = std::exchange(attempt_, nullptr);
-    silent->cancel_silent();
-    ++runs_;
-    tried_targets_.push_back(silent->destination()->id());
-    handle_attempt_failure({outcome::failed, 0,
-                            make_error_code(result_code::deadline_exceeded),
-                            "silent"});
-    if (!ended_)
-        arm_timer();
+    attempt_->cancel_silent();
+    leave_target({outcome::failed, 0,
+                  make_error_code(result_code::deadline_exceeded), "silent"});
 }
 
 void request::finish_request(std::string_view result)
--- a/src/online/request.hpp
+++ b/src/online/request.hpp
@@ -100,6 +100,17 @@
     void handle_attempt_end(const targets::attempt_end& end);
     void handle_not_run(const targets::attempt_end& end);
     void handle_attempt_failure(const targets::attempt_end& end);
+
+    /// Cancels the running attempt and treats it as failed for this reason.
+    void leave_target(const targets::attempt_end& reason);
+
+    /// Returns true if the answer with this head can follow the part of the
+    /// answer that the caller has already received.
+    bool continues_answer(const http::response_head& head) const;
+
+    /// Returns true if the started answer is a stream that another target can
+    /// continue after the last event.
+    bool is_resumable_answer() const;
     void finish_answer();
     void start_answer();
 
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -123,6 +123,7 @@
             fleet::request_limits());
         call.route = &call.configuration->routes().front();
         call.repeats = route.repeats;
+        call.after_event = after_event;
         call.received = common::clock::now();
         call.deadline = call.received + time_to_deadline;
         online::request_ptr it(new online::request(environment, std::move(call),
@@ -205,6 +206,9 @@
                                         preemption_requests.push_back(it.id());
                                     }};
     fleet::route route;
+
+    /// Last event that the caller of the next requests has received.
+    std::optional<std::uint64_t> after_event;
 };
 
 const std::string head = answers_to("a");
@@ -450,6 +454,66 @@
     BOOST_TEST(field_of(second.requests[0], "After") == "1");
 }
 
+// Guards against a stream that is cut short and looks complete: the answer of
+// the target that was to continue it is no such stream, and its body was
+// relayed as the rest.
+BOOST_AUTO_TEST_CASE(stream_is_not_continued_with_an_answer_of_another_kind)
+{
+    make_stream();
+    const std::string answers[] = {
+        whole_answer(500, "broken", head), whole_answer(404, "nothing", head),
+        whole_answer(204, "", head),
+        whole_answer(200, "{}", head + "Content-Type: application/json\r\n"),
+        chunked_head(500, head) + chunk(event(2, "error"))};
+    for (const auto& it : answers)
+    {
+        BOOST_TEST_CONTEXT("second answer " << it)
+        {
+            add_target("t1").add(
+                chunked_head(200, head) + chunk(event(1, "a")), true);
+            add_target("t2").add(it);
+            const auto result = run();
+            BOOST_TEST(result.aborted);
+            BOOST_TEST(result.body == event(1, "a"));
+            set.remove("t1");
+            set.remove("t2");
+        }
+    }
+}
+
+// Guards against a stream that is given up because one of the targets that
+// could continue it answers with an error.
+BOOST_AUTO_TEST_CASE(stream_is_continued_by_the_target_after_one_with_an_error)
+{
+    make_stream();
+    route.max_attempts = 3;
+    add_target("t1").add(chunked_head(200, head) + chunk(event(1, "a")), true);
+    add_target("t2").add(whole_answer(500, "broken", head));
+    auto& third = add_target("t3");
+    third.add(chunked_head(200, head) + chunk(event(2, "b")) + chunk(""));
+    const auto result = run();
+    BOOST_TEST(result.complete);
+    BOOST_TEST(result.body == event(1, "a") + event(2, "b"));
+    BOOST_REQUIRE(third.requests.size() == 1);
+    BOOST_TEST(field_of(third.requests[0], "After") == "1");
+}
+
+// Guards against the body of an error answer that is followed by the events of
+// another target. The caller resumes a stream itself; the first target's error
+// answer is cut.
+BOOST_AUTO_TEST_CASE(cut_error_answer_of_a_stream_is_not_continued)
+{
+    make_stream();
+    after_event = 4;
+    add_target("t1").add(chunked_head(404, head) + chunk("nothing"), true);
+    auto& second = add_target("t2");
+    second.add(chunked_head(200, head) + chunk(event(5, "b")) + chunk(""));
+    const auto result = run();
+    BOOST_TEST(result.aborted);
+    BOOST_TEST(result.status == 404U);
+    BOOST_TEST(second.requests.empty());
+}
+
 // Guards against watching the pauses only from the second event on: a stream
 // whose target fell silent after one event was then resumed only at its
 // deadline.
