Give the state of an entry to others in a fleet without a key

What operators saw: nothing; an entry that started while the store was away answered 503 until the store was back, although other entries knew the configuration.

Cause: without cluster_key, which the platform's settings don't have, the request had an Authorization field that ended with a space. The parser removes it, and the other entry answered 403.

Evidence: entry: state_is_obtained_in_a_fleet_without_a_key failed on the code before. test_entry passes.

--- a/src/entry/state_exchange.cpp
+++ b/src/entry/state_exchange.cpp
@@ -74,7 +74,19 @@
 
 std::string state_exchange::authorization() const
 {
-    return "Bearer " + settings_.cluster_key;
+    // Without a key there is no such field: a value that ends with a space
+    // would lose it on the way.
+    return settings_.cluster_key.empty() ? std::string()
+                                         : "Bearer " + settings_.cluster_key;
+}
+
+std::string state_exchange::make_request(const common::endpoint& peer) const
+{
+    auto text = "GET " + std::string(state_path) +
+                " HTTP/1.1\r\nHost: " + to_string(peer) + "\r\n";
+    if (const auto value = authorization(); !value.empty())
+        text += "Authorization: " + value + "\r\n";
+    return text + "Connection: close\r\n\r\n";
 }
 
 void state_exchange::serve(const http::http_exchange_ptr& exchange) const
@@ -133,11 +145,7 @@
             {
                 handle_response_end(result);
             };
-            connection_->send("GET " + std::string(state_path) +
-                                  " HTTP/1.1\r\nHost: " + to_string(peer) +
-                                  "\r\nAuthorization: " + authorization() +
-                                  "\r\nConnection: close\r\n\r\n",
-                              std::move(hooks));
+            connection_->send(make_request(peer), std::move(hooks));
         });
 }
 
--- a/src/entry/state_exchange.hpp
+++ b/src/entry/state_exchange.hpp
@@ -45,7 +45,10 @@
     /// expires, until this process no longer needs a state.
     void request_state();
     void handle_response_end(std::error_code ec);
+
+    /// Returns the value of the field Authorization; empty without a key.
     std::string authorization() const;
+    std::string make_request(const common::endpoint& peer) const;
 
     boost::asio::io_context& context_;
     const config::settings& settings_;
--- a/test/entry/test_state_exchange.cpp
+++ b/test/entry/test_state_exchange.cpp
@@ -16,9 +16,10 @@
 struct entry_process
 {
     entry_process(boost::asio::io_context& context, std::uint16_t port,
-                  std::vector<common::endpoint> others, std::string known_state)
+                  std::vector<common::endpoint> others, std::string known_state,
+                  std::string key = "key")
         : state(std::move(known_state)),
-          exchange(context, fill_settings(port, others), entry_edge,
+          exchange(context, fill_settings(port, others, key), entry_edge,
                    [this] { return state.empty(); })
     {
         entry_edge.export_state = [this]
@@ -34,9 +35,10 @@
 
     const config::settings&
     fill_settings(std::uint16_t port,
-                  const std::vector<common::endpoint>& others)
+                  const std::vector<common::endpoint>& others,
+                  const std::string& key)
     {
-        settings.cluster_key = "key";
+        settings.cluster_key = key;
         settings.peer.control = {"127.0.0.1", port};
         settings.peer.entries = others;
         return settings;
@@ -86,6 +88,17 @@
     BOOST_TEST(run_until(context, [&] { return two.state == "known"; }));
 }
 
+// Guards against a process that never gets the state of another one if the
+// fleet has no key: the header field lost the end of its value on the way.
+BOOST_AUTO_TEST_CASE(state_is_obtained_in_a_fleet_without_a_key)
+{
+    entry_process one(context, first.port, {}, "known", "");
+    entry_process two(context, second.port, {first}, "", "");
+    BOOST_TEST(run_until(context, [&] { return two.state == "known"; }));
+    BOOST_TEST(request_state(first.port, "Authorization: Bearer key\r\n")
+                   .starts_with("HTTP/1.1 403 "));
+}
+
 BOOST_AUTO_TEST_CASE(request_gets_503_when_there_is_no_state)
 {
     entry_process one(context, first.port, {}, "");
