Apply tickets at start only once all of them were read

Cause: each piece of the log of tickets took effect as it was read, and the first one made a starting entry ready. Teams and models of later tickets were refused as unknown, though they were only not read yet.

Change: the configuration takes effect when the end of the log is reached, or with a state from another entry. Results of tickets are reported after that.

--- a/src/api/ticket_log.cpp
+++ b/src/api/ticket_log.cpp
@@ -63,6 +63,11 @@
         common::log_warning("ticket_records_expired", {{"first", first}});
         follower_->start(first);
     };
+    hooks.on_caught_up = [this]
+    {
+        caught_up_ = true;
+        publish();
+    };
     hooks.on_reachable = [](bool reachable)
     {
         common::log_info(reachable ? "store_regained" : "store_lost",
@@ -85,7 +90,6 @@
 void ticket_log::handle_records(std::uint64_t offset,
                                 std::span<const std::string> records)
 {
-    std::vector<ticket_result> results;
     for (const auto& it : records)
     {
         proto::ConfigRecord record;
@@ -105,15 +109,11 @@
             pending_by_offset_.emplace(offset + first_fold_offset,
                                        found->second);
         for (auto& result : state_.apply(offset + first_fold_offset, record))
-            results.push_back(std::move(result));
+            unreported_.push_back(std::move(result));
         ++offset;
     }
-
-    // Operators get a result only once this process uses the configuration that
-    // follows from it.
-    publish();
-    for (const auto& it : results)
-        handle_result(it);
+    if (caught_up_)
+        publish();
 }
 
 void ticket_log::handle_result(const ticket_result& result)
@@ -132,10 +132,16 @@
 void ticket_log::publish()
 {
     const auto next = state_.current();
-    if (next->version() <= current_->version())
-        return;
-    current_ = next;
-    on_changed_(current_);
+    if (next->version() > current_->version())
+    {
+        current_ = next;
+        on_changed_(current_);
+    }
+
+    // Operators get a result only once this process uses the configuration that
+    // follows from it.
+    for (const auto& it : std::exchange(unreported_, {}))
+        handle_result(it);
 }
 
 void ticket_log::submit(const std::string& document,
--- a/src/api/ticket_log.hpp
+++ b/src/api/ticket_log.hpp
@@ -17,6 +17,7 @@
 #include <random>
 #include <span>
 #include <string>
+#include <vector>
 #include <system_error>
 
 namespace tanagertrack::api
@@ -59,7 +60,9 @@
     using snapshot = state::config_state::snapshot;
     using handler = std::function<void(const ticket_outcome&)>;
 
-    /// `on_changed` is called with each new version of the configuration.
+    /// `on_changed` is called with each new version of the configuration; at
+    /// first when the log was read to its end, or a state was imported: an
+    /// object that is missing before that may be added by a later ticket.
     ticket_log(boost::asio::io_context& context,
                const store::store_service& service,
                ticket_log_settings settings,
@@ -103,7 +106,8 @@
     void handle_result(const state::ticket_result& result);
 
     /// Makes the folded configuration the current one and calls `on_changed_`,
-    /// if its version is higher than that of the current one.
+    /// if its version is higher than that of the current one. Then reports the
+    /// results of tickets.
     void publish();
     void append(const proto::Ticket& ticket, const pending_ptr& pending);
     void handle_timeout(const pending_ptr& pending);
@@ -123,6 +127,12 @@
     snapshot current_;
     std::shared_ptr<store::partition_follower> follower_;
     std::shared_ptr<store::partition_writer> writer_;
+
+    /// True once the end of the log was reached.
+    bool caught_up_ = false;
+
+    /// Results of tickets whose configuration is not published yet.
+    std::vector<state::ticket_result> unreported_;
     boost::asio::steady_timer snapshot_timer_;
     std::mt19937_64 random_;
     std::uint64_t sequence_ = 0;
--- a/test/api/test_ticket_log.cpp
+++ b/test/api/test_ticket_log.cpp
@@ -28,12 +28,18 @@
               context, store.service(),
               api::ticket_log_settings{name, 256UL * 1024, retention},
               [this](const api::ticket_log::snapshot& it)
-              { version = it->version(); }))
+              {
+                  version = it->version();
+                  ++changes;
+              }))
     {
         log->start();
     }
 
     std::uint64_t version = 0;
+
+    /// Number of configurations that took effect.
+    unsigned changes = 0;
     std::unique_ptr<api::ticket_log> log;
 };
 
@@ -163,6 +169,29 @@
     BOOST_TEST(restarted.log->current()->models(0).name() == "m");
 }
 
+// Guards against a process that refuses callers because it serves an old
+// configuration while it still reads the log: models and teams of later tickets
+// are not known yet. The records are larger than one read.
+BOOST_AUTO_TEST_CASE(configuration_takes_effect_once_the_log_is_read_to_its_end)
+{
+    const auto make_models = [](const std::string& prefix)
+    {
+        std::string text = "models:\n";
+        for (int n = 0; n < 500; ++n)
+            text += "  - name: " + prefix + std::string(120, 'm') +
+                    std::to_string(n) + "\n";
+        return text;
+    };
+    for (unsigned n = 1; n <= 2; ++n)
+    {
+        const auto out = submit(one, n, make_models(std::string(n, 'a')));
+        BOOST_REQUIRE((out->result.kind == kind::accepted));
+    }
+    ticket_process restarted(context, store, "w3");
+    BOOST_REQUIRE(run_until(context, [&] { return restarted.version == 2; }));
+    BOOST_TEST(restarted.changes == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(imported_state_takes_effect_when_the_store_refuses_reads)
 {
     submit(one, 1, model);
