Serve the calls on a job after its route was removed

Cause: front::handle served calls on jobs only under hosts with a route in the configuration in effect, and looked for a route by the call's own path otherwise. The job's recorded host was not asked.

Change: the job decides. It is found under the host under which it was accepted, and under no other one. A repeated submission of a known job gets 202 when its route is gone or no configuration is known yet, and so do calls on known jobs; other calls are answered as before.

Why it works: an entry that knows the job can't say any more that it does not exist because of a change of the configuration.

--- a/src/batch/results.hpp
+++ b/src/batch/results.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -92,6 +93,12 @@
         jobs_.confirm(as_of, std::move(done));
     }
 
+    /// Returns the job, or nullptr if this process does not know it, or not yet.
+    const state::batch_job* find_known(std::string_view job) const
+    {
+        return jobs_.table().find(job);
+    }
+
     /// Calls `done` with the job, or with nullptr if the store confirms that
     /// there is no such job. The state of the job may be older than one that
     /// another process has reported. Error: `log_unavailable`, if the job is
--- a/test/platform/test_front.cpp
+++ b/test/platform/test_front.cpp
@@ -133,23 +133,30 @@
     }
 
     static std::string get(const std::string& target,
-                           const std::string& fields = {})
+                           const std::string& fields = {},
+                           const std::string& host = "h")
     {
-        return "GET " + target +
-               " HTTP/1.1\r\nHost: h\r\n"
-               "X-Tanagertrack-Request-Id: r1\r\n" +
-               fields + "\r\n";
+        return "GET " + target + " HTTP/1.1\r\nHost: " + host +
+               "\r\nX-Tanagertrack-Request-Id: r1\r\n" + fields + "\r\n";
     }
 
     static std::string post(const std::string& target, const std::string& body,
-                            const std::string& id = "r1")
+                            const std::string& id = "r1",
+                            const std::string& host = "h")
     {
-        return "POST " + target +
-               " HTTP/1.1\r\nHost: h\r\nX-Tanagertrack-Request-Id: " + id +
+        return "POST " + target + " HTTP/1.1\r\nHost: " + host +
+               "\r\nX-Tanagertrack-Request-Id: " + id +
                "\r\nContent-Length: " + std::to_string(body.size()) +
                "\r\n\r\n" + body;
     }
 
+    static std::string remove(const std::string& target,
+                              const std::string& host)
+    {
+        return "DELETE " + target + " HTTP/1.1\r\nHost: " + host +
+               "\r\n\r\n";
+    }
+
     static std::string job_body(const std::string& items)
     {
         return R"({"items":[)" + items + "]}";
@@ -219,6 +226,37 @@
     BOOST_TEST(text.starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against the refusal of calls on an accepted job by a process that does
+// not know the configuration yet, but has read the log of jobs.
+BOOST_AUTO_TEST_CASE(accepted_job_is_found_before_the_first_configuration)
+{
+    proto::JobRecord part;
+    part.mutable_part()->set_job("j1");
+    auto& accepted_item = *part.mutable_part()->add_items();
+    accepted_item.set_id("i1");
+    accepted_item.set_path("/b/x");
+    proto::JobRecord commit;
+    commit.mutable_commit()->set_job("j1");
+    commit.mutable_commit()->set_route("b");
+    commit.mutable_commit()->set_host("h");
+    commit.mutable_commit()->set_member("other");
+    commit.mutable_commit()->set_item_count(1);
+    store.model.append(
+        {"jobs", 0, {part.SerializeAsString(), commit.SerializeAsString()}},
+        common::clock::now());
+    store.wake();
+    BOOST_REQUIRE(run_until(
+        context, [&] { return core->jobs().table().find("j1") != nullptr; }));
+    BOOST_TEST(contains(
+        send_request(get("/tanagertrack/lots/j1"), "\r\n\r\n{"), " 200 "));
+    BOOST_TEST(contains(send_request(post("/b/j1", job_body(item("i1")), "j1"),
+                                     "\r\n\r\n{}"),
+                        " 202 "));
+    BOOST_TEST(contains(send_request(post("/b/j2", job_body(item("i1")), "j2"),
+                                     "\r\n\r\n"),
+                        " 503 "));
+}
+
 // A process that starts while the store is unreachable gets the configuration
 // and the targets from another process.
 BOOST_AUTO_TEST_CASE(exported_state_is_imported_by_another_process)
@@ -538,6 +576,78 @@
     BOOST_TEST(contains(sent, "Kept: 1\r\n"));
 }
 
+namespace
+{
+
+/// An entry that has accepted the job "j1" with the item "i1" under the only
+/// route of the host "lots".
+struct with_job_of_own_host : serving
+{
+    with_job_of_own_host()
+    {
+        configure(2, R"(,{"name":"l","host":"lots","pathPrefix":"/l/",
+                        "service":"s","kind":"batch","maxAttempts":2,
+                        "dueMs":18000,"cap":1000})");
+
+        // The item runs for as long as the test.
+        engine.make_answer = [](const std::string&)
+        {
+            return scripted_answer{};
+        };
+        BOOST_REQUIRE(contains(submit(), " 202 "));
+    }
+
+    std::string submit()
+    {
+        return send_request(post("/l/j1", job_body(item("i1")), "j1", "lots"),
+                            "\r\n\r\n{}");
+    }
+
+    std::string read_results(const std::string& host = "lots")
+    {
+        return send_request(get("/tanagertrack/lots/j1", {}, host),
+                            "\r\n\r\n{");
+    }
+};
+
+} // namespace
+
+// Guards against an accepted job that is out of reach for its caller once the
+// operator has removed its route, the only one of its host.
+BOOST_FIXTURE_TEST_CASE(accepted_job_outlasts_its_route, with_job_of_own_host)
+{
+    configure(3);
+    BOOST_TEST(contains(read_results(), R"("totalCount":1)"));
+    BOOST_TEST(contains(send_request(get("/tanagertrack/items/j1?id=i1", {},
+                                         "lots"),
+                                     "body of i1"),
+                        " 200 "));
+    BOOST_TEST(contains(
+        send_request(remove("/tanagertrack/lots/j1", "lots"), "{}"), " 200 "));
+}
+
+// Guards against the refusal of a repeated submission of an accepted job after
+// its route was removed. Other submissions to the removed route get 404.
+BOOST_FIXTURE_TEST_CASE(repeated_submission_is_accepted_without_its_route,
+                        with_job_of_own_host)
+{
+    configure(3);
+    BOOST_TEST(contains(submit(), " 202 "));
+    for (const auto* host : {"lots", "h"})
+    {
+        const auto other = post("/l/j2", job_body(item("i1")), "j2", host);
+        BOOST_TEST(contains(send_request(other, "\r\n\r\n"), " 404 "));
+    }
+}
+
+// Guards against a job that is disclosed under another host name.
+BOOST_FIXTURE_TEST_CASE(job_is_found_only_under_its_host, with_job_of_own_host)
+{
+    BOOST_TEST(contains(read_results(), R"("totalCount":1)"));
+    for (const auto* host : {"h", "nobody"})
+        BOOST_TEST(contains(read_results(host), " 404 "));
+}
+
 BOOST_AUTO_TEST_CASE(unsupported_method_on_a_job_gets_405)
 {
     BOOST_TEST(
