Let the items of each service wait in a queue of their own

Cause: items of all services waited in one queue. Its limits, 512 waiting items and 8 MB of loaded items for loading, 256 items for a search, 8 groups for the announcement to other entries, were used up by items that could not start.

Change: pending_items has a queue for each service and one for items without a known route. The search goes over the queues by urgency and leaves each one at the first item without a free slot. Only items of services with targets count for the limit on waiting items, and a job without an item that could start may always load 256 KiB. The announced groups are shared by the services. Routes of waiting items are looked up when the configuration changes instead of in each search, and only items whose own route was removed are ended, not all of their job.

Why it works: no limit that decides on a job's items is used up by items of another service.

--- a/bench/entry_model.cpp
+++ b/bench/entry_model.cpp
@@ -231,9 +231,12 @@
 {
     if (order_ != batch::batch_order::urgency)
         return;
-    batch::mark_late_items(pending_, running_,
-                           [this, now](const auto& item)
-                           { return is_late(item, now); });
+    const auto is_late_now = [this, now](const auto& item)
+    {
+        return is_late(item, now);
+    };
+    batch::mark_late_items(pending_, is_late_now);
+    batch::mark_late_running_items(running_, is_late_now);
 }
 
 void entry_model::record_progress(common::time_point now)
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -72,6 +72,10 @@
     std::string job;
     std::uint32_t index = 0;
     item_rank rank;
+
+    /// Route at the time at which the item began to wait, or at the last change
+    /// of the configuration while it waits.
+    item_route route;
     proto::JobItem data;
     std::size_t data_bytes = 0;
 
@@ -171,6 +175,9 @@
     /// Items that are loaded and have not ended, by index.
     std::map<std::uint32_t, item_run_ptr> items;
 
+    /// Serialized size of these items in bytes.
+    std::size_t loaded_bytes = 0;
+
     /// Time since which the configuration has no route for an item of the job,
     /// although it is as new as the one under which the job was submitted.
     std::optional<common::time_point> route_missing_since;
--- a/src/batch/late_items.hpp
+++ b/src/batch/late_items.hpp
@@ -9,12 +9,12 @@
 namespace tanagertrack::batch
 {
 
-/// Marks the items as late for which `is_late` returns true; an item stays late
-/// once it is marked. Moves pending items to their new rank. `ItemPtr` points
-/// to an item with a member `rank`; `ItemSet` is a range of such pointers.
-template<typename ItemPtr, typename ItemSet, typename Predicate>
+/// Marks the pending items as late for which `is_late` returns true, and moves
+/// them to their new rank; an item stays late once it is marked. `ItemPtr`
+/// points to an item with a member `rank`.
+template<typename ItemPtr, typename Predicate>
 void mark_late_items(std::map<item_rank, ItemPtr>& pending,
-                     const ItemSet& running, const Predicate& is_late)
+                     const Predicate& is_late)
 {
     std::vector<ItemPtr> late;
     for (const auto& [rank, item] : pending)
@@ -31,6 +31,13 @@
         item->rank.urgency.is_late = true;
         pending[item->rank] = item;
     }
+}
+
+/// Marks the running items as late for which `is_late` returns true. `ItemSet`
+/// is a range of pointers to items with a member `rank`.
+template<typename ItemSet, typename Predicate>
+void mark_late_running_items(const ItemSet& running, const Predicate& is_late)
+{
     for (const auto& item : running)
         item->rank.urgency.is_late |= is_late(*item);
 }
--- a/src/batch/part_loader.cpp
+++ b/src/batch/part_loader.cpp
@@ -34,7 +34,9 @@
         loads_.erase(it);
 }
 
-void part_loader::load(common::time_point now)
+void part_loader::load(
+    common::time_point now,
+    const std::function<bool(const std::string& job)>& may_load)
 {
     std::vector<std::pair<job_order, std::string>> ready;
     for (const auto& [id, it] : loads_)
@@ -48,7 +50,10 @@
     }
     std::ranges::sort(ready);
     for (const auto& [order, id] : ready)
-        load_part(id, loads_.find(id)->second, *jobs_.table().find(id));
+    {
+        if (may_load(id))
+            load_part(id, loads_.find(id)->second, *jobs_.table().find(id));
+    }
 }
 
 void part_loader::load_part(const std::string& id, load_state& job_state,
--- a/src/batch/part_loader.hpp
+++ b/src/batch/part_loader.hpp
@@ -42,8 +42,10 @@
     /// Removes a job; the result of a running read is dropped.
     void remove(std::string_view job);
 
-    /// Reads the next part of each job without a running read.
-    void load(common::time_point now);
+    /// Reads the next part of each job without a running read for which
+    /// `may_load` returns true.
+    void load(common::time_point now,
+              const std::function<bool(const std::string& job)>& may_load);
 
 private:
     struct load_state
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -4,7 +4,6 @@
 #include "batch/item_intents.hpp"
 #include "batch/item_request.hpp"
 #include "batch/item_route.hpp"
-#include "batch/late_items.hpp"
 #include "batch/preemption.hpp"
 #include "batch/progress_store.hpp"
 #include "common/logging.hpp"
@@ -25,8 +24,9 @@
 namespace
 {
 
-/// Maximum number of pending items examined in one search for items to start.
-constexpr std::size_t max_scanned_items = 256;
+/// Maximum number of pending items of a service examined in one search for
+/// items to start.
+constexpr std::size_t max_examined_items = 256;
 
 /// Bytes of loaded items above which no further parts are loaded; jobs that are
 /// due later wait.
@@ -36,9 +36,13 @@
 /// verdict may be lifted earlier than it ends.
 constexpr auto max_quarantine_pause = milliseconds(1000);
 
-/// Pending items above which no further parts are loaded.
+/// Pending items that could start, above which no further parts are loaded.
 constexpr std::size_t max_pending_for_load = 512;
 
+/// Bytes of loaded items up to which a job without an item that could start
+/// loads a further part, whatever other jobs have loaded.
+constexpr std::size_t min_loaded_job_bytes = 256UL * 1024;
+
 } // namespace
 
 runner::runner(environment& env, job_log& jobs, text_store& texts,
@@ -104,13 +108,8 @@
     check_text_sizes();
     mark_late_items(now);
     progress_.record_due_items(running_, now);
-    for (auto& [id, run] : runs_)
-    {
-        if (run.route_missing_since &&
-            now - *run.route_missing_since >
-                environment_.settings.missing_route_timeout)
-            fail_unrouted_items(run);
-    }
+    update_routes();
+    check_removed_routes(now);
     load_parts(now);
     preempt_excess();
     start_items();
@@ -213,9 +212,35 @@
 
 void runner::load_parts(common::time_point now)
 {
-    if (!handed_over_ && loaded_bytes_ < max_loaded_bytes &&
-        pending_.size() < max_pending_for_load)
-        loader_.load(now);
+    if (handed_over_)
+        return;
+
+    // Items of a service without targets don't count: they must not keep the
+    // items of other services from being loaded.
+    std::size_t startable = 0;
+    for (const auto& [service, items] : pending_.by_service())
+        startable += has_targets(service) ? items.size() : 0;
+    const bool has_room =
+        loaded_bytes_ < max_loaded_bytes && startable < max_pending_for_load;
+    loader_.load(now, [this, has_room](const std::string& job)
+                 { return has_room || lacks_items(runs_.find(job)->second); });
+}
+
+bool runner::has_targets(const std::string& service) const
+{
+    return !environment_.targets.of_service(service).empty();
+}
+
+bool runner::lacks_items(const job_run& run) const
+{
+    return run.loaded_bytes < min_loaded_job_bytes &&
+           std::ranges::none_of(run.items,
+                                [this](const auto& it)
+                                {
+                                    const auto& item = *it.second;
+                                    return !item.closed && !item.attempt &&
+                                           has_targets(item.route.service);
+                                });
 }
 
 void runner::handle_part(const std::string& job, std::uint32_t first,
@@ -239,6 +264,7 @@
             continue;
         const auto item = add_item(run, index, items[i]);
         loaded_bytes_ += item->data_bytes;
+        run.loaded_bytes += item->data_bytes;
 
         const auto progress = job.progress.find(index);
         if (job.intents.contains(index))
@@ -254,30 +280,64 @@
                               schedule_start();
                           });
         else
-            pending_[item->rank] = item;
+            requeue(item);
     }
 }
 
-void runner::fail_unrouted_items(job_run& run)
+void runner::update_routes()
 {
-    common::log_info("job_without_route",
-                     {{"job", run.id}, {"items", run.items.size()}});
-    run.route_missing_since.reset();
-    for (const auto& [index, item] : std::map(run.items))
+    if (routes_as_of_ == environment_.configuration())
+        return;
+    routes_as_of_ = environment_.configuration();
+    std::vector<item_run_ptr> items;
+    pending_.for_each([&items](const item_run_ptr& it)
+                      { items.push_back(it); });
+    for (const auto& it : items)
+        requeue(it);
+}
+
+void runner::check_removed_routes(common::time_point now)
+{
+    std::map<job_run*, std::vector<item_run_ptr>> unrouted;
+    for (const auto& [rank, item] : pending_.unrouted())
+    {
+        if (item->route.status == route_status::removed)
+            unrouted[&runs_.find(item->job)->second].push_back(item);
+    }
+    for (auto& [id, run] : runs_)
     {
-        if (!item->closed && !item->attempt)
-            finish_item(item, proto::ITEM_DEAD, 0, {});
+        const auto found = unrouted.find(&run);
+        if (found == unrouted.end())
+            run.route_missing_since.reset();
+        else if (!run.route_missing_since)
+            run.route_missing_since = now;
+        else if (now - *run.route_missing_since >
+                 environment_.settings.missing_route_timeout)
+            fail_unrouted_items(run, found->second);
     }
 }
 
+void runner::fail_unrouted_items(const job_run& run,
+                                 const std::vector<item_run_ptr>& items)
+{
+    common::log_info("job_without_route",
+                     {{"job", run.id},
+                      {"items", items.size()},
+                      {"submitted_version", run.configuration_version},
+                      {"version", environment_.configuration()->version()}});
+    for (const auto& it : items)
+        finish_item(it, proto::ITEM_DEAD, 0, {});
+}
+
 // ---- items ----
 
 void runner::remove_item(job_run& run, const item_run_ptr& item)
 {
     item->closed = true;
-    pending_.erase(item->rank);
+    pending_.erase(*item);
     running_.erase(item);
-    loaded_bytes_ -= std::exchange(item->data_bytes, 0);
+    loaded_bytes_ -= item->data_bytes;
+    run.loaded_bytes -= std::exchange(item->data_bytes, 0);
     run.items.erase(item->index);
     if (auto attempt = std::exchange(item->attempt, nullptr))
         attempt->cancel();
@@ -317,53 +377,47 @@
             environment_.settings.max_unrecorded_bytes;
     if (paused_ || handed_over_ || recorder_full || pending_.empty())
         return;
+    update_routes();
     const auto now = common::clock::now();
 
-    // Services for which no target was found; their further items, which are
-    // less urgent, are skipped.
-    std::set<std::string> busy_services;
-
-    // A copy, as starting an item removes it from `pending_`.
-    std::vector<item_run_ptr> candidates;
-    for (const auto& [rank, item] : pending_)
+    // The next item of each service, by rank. A service is dropped once no
+    // target is found for an item: its other items are less urgent.
+    std::map<item_rank, service_scan> scans;
+    const auto add_next = [&](service_scan scan, const item_rank* after)
     {
-        if (candidates.size() >= max_scanned_items)
-            break;
-        if (item->not_before <= now)
-            candidates.push_back(item);
-    }
-    for (const auto& item : candidates)
+        scan.item = pending_.find_next(scan.service, after, now);
+        if (scan.item && scan.examined < max_examined_items)
+            scans.emplace(scan.item->rank, std::move(scan));
+    };
+    for (const auto& [service, items] : pending_.by_service())
+        add_next({service, nullptr, 0}, nullptr);
+    while (!scans.empty())
     {
-        if (item->closed)
-            continue;
-        auto& run = runs_.find(item->job)->second;
-        const auto route = find_route(run, *item);
-        if (busy_services.contains(route.service) ||
-            !may_start(run, item, route.status, now))
+        auto scan = std::move(scans.extract(scans.begin()).mapped());
+        const auto rank = scan.item->rank;
+        if (!start_item(scan.item, now))
             continue;
-        const auto target = choose_target(*item, route.service, now);
-        if (!target)
-        {
-            busy_services.insert(route.service);
-            continue;
-        }
-        pending_.erase(item->rank);
-        start_attempt(run, item, target);
+        ++scan.examined;
+        add_next(std::move(scan), &rank);
     }
 }
 
-bool runner::may_start(job_run& run, const item_run_ptr& item,
-                       route_status route, common::time_point now)
+bool runner::start_item(const item_run_ptr& item, common::time_point now)
 {
-    if (route == route_status::removed)
-    {
-        if (!run.route_missing_since)
-            run.route_missing_since = now;
-        return false;
-    }
-    run.route_missing_since.reset();
-    if (route == route_status::unknown)
+    const auto& run = runs_.find(item->job)->second;
+    if (!may_start(run, item, now))
+        return true;
+    const auto target = choose_target(*item, item->route.service, now);
+    if (!target)
         return false;
+    pending_.erase(*item);
+    start_attempt(run, item, target);
+    return true;
+}
+
+bool runner::may_start(const job_run& run, const item_run_ptr& item,
+                       common::time_point now)
+{
     if (const auto refused_for = environment_.time_refused(item->prompt))
     {
         hold_refused_item(run, item, *refused_for, now);
@@ -399,11 +453,6 @@
         schedule_start();
 }
 
-item_route runner::find_route(const job_run& run, const item_run& item) const
-{
-    return find_item_route(environment_.configuration().get(), run, item);
-}
-
 targets::target_ptr runner::choose_target(const item_run& item,
                                           const std::string& service,
                                           common::time_point now)
@@ -440,9 +489,12 @@
 {
     if (environment_.settings.order != batch_order::urgency)
         return;
-    batch::mark_late_items(pending_, running_,
-                           [this, now](const auto& item)
-                           { return is_late(item, now); });
+    const auto is_late_now = [this, now](const item_run& item)
+    {
+        return is_late(item, now);
+    };
+    pending_.mark_late(is_late_now);
+    mark_late_running_items(running_, is_late_now);
 }
 
 void runner::start_attempt(const job_run& run, const item_run_ptr& item,
@@ -556,7 +608,7 @@
                                     {"attempts", item->attempts},
                                     {"failures", item->failures}});
     item->closed = true;
-    pending_.erase(item->rank);
+    pending_.erase(*item);
     item_end end;
     end.job = item->job;
     end.item = item->index;
@@ -578,8 +630,11 @@
 
 void runner::requeue(const item_run_ptr& item)
 {
-    if (!item->closed)
-        pending_[item->rank] = item;
+    if (item->closed)
+        return;
+    const auto& run = runs_.find(item->job)->second;
+    pending_.insert(
+        item, find_item_route(environment_.configuration().get(), run, *item));
 }
 
 bool runner::preempt_one(targets::target& target)
@@ -689,11 +744,12 @@
 
     const auto now = common::clock::now();
     std::vector<progress_snapshot> snapshots;
-    for (const auto& [rank, item] : pending_)
-    {
-        if (item->last_event)
-            snapshots.push_back(capture_progress(*item, now));
-    }
+    pending_.for_each(
+        [&](const item_run_ptr& it)
+        {
+            if (it->last_event)
+                snapshots.push_back(capture_progress(*it, now));
+        });
     write_progress(jobs_, texts_, std::move(snapshots),
                    [done = std::move(done)](std::error_code) { done(); });
 }
@@ -706,24 +762,47 @@
     std::vector<routing::waiting_items> groups;
     if (paused_ || handed_over_)
         return groups;
+
+    // Each service gets an equal share of the groups.
     const auto now = common::clock::now();
+    std::size_t services = 0;
+    for (const auto& [service, items] : pending_.by_service())
+        services += has_targets(service) ? 1 : 0;
+    for (const auto& [service, items] : pending_.by_service())
+    {
+        if (!has_targets(service))
+            continue;
+        const auto limit =
+            groups.size() + std::max<std::size_t>(1, max_groups / services);
+        add_waiting_groups(groups, service, items, std::min(limit, max_groups),
+                           now);
+    }
+    std::ranges::stable_sort(groups, {}, &routing::waiting_items::urgency);
+    return groups;
+}
+
+void runner::add_waiting_groups(std::vector<routing::waiting_items>& groups,
+                                const std::string& service,
+                                const pending_items::queue& items,
+                                std::size_t max_groups, common::time_point now)
+{
+    const auto first = groups.size();
     std::string_view job;
-    for (const auto& [rank, item] : pending_)
+    for (const auto& [rank, item] : items)
     {
         if (item->not_before > now)
             continue;
-        if (groups.empty() || item->job != job ||
-            groups.back().urgency != rank.urgency)
+        const bool starts_group = groups.size() == first || item->job != job ||
+                                  groups.back().urgency != rank.urgency;
+        if (starts_group)
         {
-            if (groups.size() == max_groups)
+            if (groups.size() >= max_groups)
                 break;
             job = item->job;
-            const auto& run = runs_.find(item->job)->second;
-            groups.push_back({find_route(run, *item).service, rank.urgency, 0});
+            groups.push_back({service, rank.urgency, 0});
         }
         ++groups.back().count;
     }
-    return groups;
 }
 
 runner_counts runner::counts() const
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -7,6 +7,7 @@
 #include "batch/job_log.hpp"
 #include "batch/part_loader.hpp"
 #include "batch/peer_reservation.hpp"
+#include "batch/pending_items.hpp"
 #include "batch/progress_recorder.hpp"
 #include "batch/result_recorder.hpp"
 #include "batch/run_time_estimate.hpp"
@@ -87,8 +88,8 @@
     void schedule_start();
 
     /// Returns the items that wait for a slot and may start now, the most
-    /// urgent ones first, in at most `max_groups` groups of equal job and
-    /// urgency.
+    /// urgent ones first, in at most `max_groups` groups of equal service, job
+    /// and urgency. Services without targets are left out.
     std::vector<routing::waiting_items> waiting(std::size_t max_groups) const;
 
     runner_counts counts() const;
@@ -97,6 +98,18 @@
     std::size_t running_items(std::string_view job) const;
 
 private:
+    /// Search for items of a service to start.
+    struct service_scan
+    {
+        std::string service;
+
+        /// Next item to examine.
+        item_run_ptr item;
+
+        /// Number of items examined so far.
+        std::size_t examined = 0;
+    };
+
     job_listener make_listener();
     void start_items();
     void run_checks();
@@ -116,17 +129,34 @@
     void add_items(job_run& run, const state::batch_job& job,
                    std::uint32_t first,
                    const std::vector<proto::JobItem>& items);
-    void fail_unrouted_items(job_run& run);
+
+    /// Returns true if a service has a target.
+    bool has_targets(const std::string& service) const;
+
+    /// Returns true if the job has no loaded item that could start, and few
+    /// loaded bytes.
+    bool lacks_items(const job_run& run) const;
+
+    /// Looks the routes of the pending items up again if the configuration has
+    /// changed.
+    void update_routes();
+
+    /// Ends the items whose route was removed some time ago.
+    void check_removed_routes(common::time_point now);
+    void fail_unrouted_items(const job_run& run,
+                             const std::vector<item_run_ptr>& items);
 
     // Items.
     void remove_item(job_run& run, const item_run_ptr& item);
     void handle_item_result(const std::string& job, std::uint32_t index);
-    item_route find_route(const job_run& run, const item_run& item) const;
 
-    /// Returns true if the item may start now. Otherwise notes that the job has
-    /// lost its route, or requests the intent of an item that must not run more
-    /// than once.
-    bool may_start(job_run& run, const item_run_ptr& item, route_status route,
+    /// Starts a pending item if it may start now. Returns false if no target of
+    /// its service has a free slot.
+    bool start_item(const item_run_ptr& item, common::time_point now);
+
+    /// Returns true if the item may start now. Otherwise lets it wait, or
+    /// requests the intent of an item that must not run more than once.
+    bool may_start(const job_run& run, const item_run_ptr& item,
                    common::time_point now);
 
     /// Lets an item wait whose prompt crashes targets, and ends it once the
@@ -154,6 +184,14 @@
                      unsigned status, const std::string& target);
     void record_run_time(const item_run& item);
     void requeue(const item_run_ptr& item);
+
+    /// Adds the waiting items of a service to `groups`, which gets at most
+    /// `max_groups` in total.
+    static void add_waiting_groups(std::vector<routing::waiting_items>& groups,
+                                   const std::string& service,
+                                   const pending_items::queue& items,
+                                   std::size_t max_groups,
+                                   common::time_point now);
     void interrupt_item(const item_run_ptr& item, std::string_view reason);
     void check_timeouts(common::time_point now);
     void check_text_sizes();
@@ -171,9 +209,12 @@
     std::map<std::string, job_run, std::less<>> runs_;
 
     /// Items that wait for a slot, and those with a running attempt.
-    std::map<item_rank, item_run_ptr> pending_;
+    pending_items pending_;
     std::set<item_run_ptr> running_;
 
+    /// Configuration by which the routes of the pending items were looked up.
+    fleet::configuration_ptr routes_as_of_;
+
     /// Slots reserved for other processes, by service.
     std::map<std::string, peer_reservation, std::less<>> reservations_;
     run_time_estimate run_times_;
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -189,8 +189,6 @@
     BOOST_TEST(server.requests.size() == 3);
 }
 
-// Guards against an item that fails for good because of faults of its targets:
-// refusals, timeouts, malformed answers and closed connections.
 // Guards against items that crash one target after the other, and against a
 // refused item that keeps other items from starting.
 BOOST_AUTO_TEST_CASE(item_with_a_refused_prompt_waits_and_others_run)
@@ -231,6 +229,8 @@
     BOOST_TEST(server.requests.empty());
 }
 
+// Guards against an item that fails for good because of faults of its targets:
+// refusals, timeouts, malformed answers and closed connections.
 BOOST_AUTO_TEST_CASE(transient_failures_do_not_count_towards_the_maximum)
 {
     const auto id = answers_to("a");
@@ -422,6 +422,119 @@
 namespace
 {
 
+/// A process with items of the service "x", which has no target, besides those
+/// of the service "s".
+struct with_service_without_targets : with_target
+{
+    /// Returns `count` items of a service, with bodies of `body_bytes`.
+    static std::vector<proto::JobItem>
+    make_items(const std::string& service, int count, std::size_t body_bytes)
+    {
+        std::vector<proto::JobItem> items;
+        for (int n = 0; n < count; ++n)
+        {
+            items.push_back(
+                batch_process::make_item(service + std::to_string(n)));
+            items.back().set_service(service);
+            items.back().set_body(std::string(body_bytes, 'x'));
+        }
+        return items;
+    }
+
+    /// Submits a job that is due after this time, and waits until it is
+    /// accepted.
+    void accept(const std::string& job,
+                const std::vector<proto::JobItem>& items,
+                std::chrono::milliseconds due_after)
+    {
+        one.until([&] { return one.jobs.is_current(); });
+        auto terms = one.make_terms(job);
+        terms.due_after = due_after;
+        const auto result = one.submit(terms, items);
+        BOOST_REQUIRE(one.until([&] { return result->has_value(); }));
+        BOOST_REQUIRE(!**result);
+    }
+
+    std::size_t pending_items() const
+    {
+        return one.runner.counts().pending;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(batch_runner_services, with_service_without_targets)
+
+// Guards against loaded items of a service without targets that keep the items
+// of a job of another service from being loaded. The second job is too large to
+// be kept in memory when it is accepted.
+BOOST_AUTO_TEST_CASE(items_without_targets_do_not_keep_others_from_loading)
+{
+    for (const auto* job : {"x1", "x2", "x3"})
+        accept(job, make_items("x", 200, 10), 1h);
+    BOOST_REQUIRE(one.until([&] { return pending_items() == 600; }));
+    accept("j", make_items("s", 24, 15000), 2h);
+    BOOST_TEST(one.until([&] { return one.finished("j"); }));
+    BOOST_TEST(pending_items() == 600U);
+}
+
+// The same, if the waiting items use up the memory for loaded items.
+BOOST_AUTO_TEST_CASE(
+    large_items_without_targets_do_not_keep_others_from_loading)
+{
+    for (const auto* job : {"x1", "x2", "x3"})
+        accept(job, make_items("x", 100, 60000), 1h);
+    BOOST_REQUIRE(one.until([&] { return pending_items() >= 130; }));
+    accept("j", make_items("s", 24, 15000), 2h);
+    BOOST_TEST(one.until([&] { return one.finished("j"); }));
+    BOOST_TEST(pending_items() < 300U);
+}
+
+// Guards against items that are never examined because those of a service
+// without targets come before them.
+BOOST_AUTO_TEST_CASE(items_without_targets_do_not_keep_others_from_starting)
+{
+    for (const auto* job : {"x1", "x2"})
+        accept(job, make_items("x", 200, 10), 1h);
+    accept("j", make_items("s", 3, 10), 2h);
+    BOOST_TEST(one.until([&] { return one.finished("j"); }));
+}
+
+// Guards against a job whose first items wait for a service without targets and
+// keep its other items from being loaded.
+BOOST_AUTO_TEST_CASE(items_without_targets_do_not_hold_up_their_own_job)
+{
+    auto items = make_items("x", 600, 300);
+    const auto others = make_items("s", 3, 15000);
+    items.insert(items.end(), others.begin(), others.end());
+    accept("j", items, 1h);
+    BOOST_TEST(one.until([&] { return one.job("j")->results.size() == 3; }));
+}
+
+// Guards against entries that take the slots which more urgent items of this
+// one need, because only items of another service were announced to them.
+BOOST_AUTO_TEST_CASE(waiting_items_of_each_service_are_announced)
+{
+    auto& busy = add_server();
+    one.targets.remove("t1");
+    one.targets.add("t1", make_announcement(server.address(), "s", 1));
+    one.targets.add("t2", make_announcement(busy.address(), "y", 1));
+    one.target_ids.push_back("t2");
+    one.peer_items_ahead = 1000;
+    for (int n = 0; n < 10; ++n)
+        accept("y" + std::to_string(n), make_items("y", 1, 10), 1h);
+    accept("j", make_items("s", 2, 10), 2h);
+    const auto groups = one.runner.waiting(8);
+    BOOST_TEST(groups.size() <= 8U);
+    BOOST_TEST(
+        std::ranges::count(groups, "s", &routing::waiting_items::service) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+
 struct two_processes : with_target
 {
     two_processes()
