Let no queued handler use a destroyed periodic timer

Cause: destroying an Asio timer cancels its waits, but not a handler that was queued with success before. That handler used the destroyed object.

Change: the handler checks a weak reference to the timer's lifetime.

--- a/src/common/periodic_timer.cpp
+++ b/src/common/periodic_timer.cpp
@@ -18,9 +18,9 @@
 {
     timer_.expires_after(interval_);
     timer_.async_wait(
-        [this](const auto& ec)
+        [this, lifetime = std::weak_ptr(lifetime_)](const auto& ec)
         {
-            if (ec)
+            if (ec || lifetime.expired())
                 return;
             on_expired_();
             start();
--- a/src/common/periodic_timer.hpp
+++ b/src/common/periodic_timer.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 
 namespace tanagertrack::common
 {
@@ -15,7 +16,7 @@
 {
 public:
     /// `interval` is the time from the end of one call, or from `start`, to the
-    /// next call.
+    /// next call. `on_expired` must not destroy the object.
     periodic_timer(boost::asio::io_context& context,
                    std::chrono::milliseconds interval,
                    std::function<void()> on_expired);
@@ -30,6 +31,10 @@
     std::chrono::milliseconds interval_;
     std::function<void()> on_expired_;
     boost::asio::steady_timer timer_;
+
+    /// Expires with the object. A handler that is queued already can't be
+    /// cancelled any more, and must not use the destroyed object.
+    std::shared_ptr<const bool> lifetime_ = std::make_shared<bool>(true);
 };
 
 } // namespace tanagertrack::common
--- a/test/common/test_common.cpp
+++ b/test/common/test_common.cpp
@@ -3,14 +3,20 @@
 #include "common/hash.hpp"
 #include "common/io_thread.hpp"
 #include "common/metrics.hpp"
+#include "common/periodic_timer.hpp"
 #include "common/result_code.hpp"
 #include "common/utf8.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <fstream>
 #include <future>
+#include <memory>
 #include <sstream>
+#include <thread>
 
 using namespace tanagertrack::common;
 
@@ -129,4 +135,21 @@
     done.get_future().get();
 }
 
+// Guards against the use of a destroyed timer by a handler that was queued
+// before. Both timers have expired when the handlers run.
+BOOST_AUTO_TEST_CASE(destroyed_timer_does_not_call_its_queued_handler)
+{
+    using std::chrono::milliseconds;
+    boost::asio::io_context context;
+    unsigned calls = 0;
+    auto timer = std::make_unique<periodic_timer>(context, milliseconds(2),
+                                                  [&calls] { ++calls; });
+    boost::asio::steady_timer first(context, milliseconds(1));
+    first.async_wait([&timer](const auto&) { timer.reset(); });
+    timer->start();
+    std::this_thread::sleep_for(milliseconds(10));
+    context.run();
+    BOOST_TEST(calls == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
