Keep the items of a job whose paths select a route of another kind

Cause: an item's route was looked up by its path only; a route that is not for batch jobs counted as "the route was removed".

Change: if the path selects no batch route, the route under which the job was accepted runs its items. A batch route that was split off is still selected by the path.

Evidence: batch: item_keeps_the_route_of_its_job describes both; the look-up before returned no service for the paths /jobs/a/x and /other/x.

--- a/src/batch/item_route.cpp
+++ b/src/batch/item_route.cpp
@@ -23,6 +23,24 @@
     return {};
 }
 
+/// Returns the batch route that runs an item: the one that the item's path
+/// selects, or else the one under which its job was accepted. The path may
+/// select a route of another kind that was added later, or none.
+const fleet::route* find_batch_route(const fleet::configuration& configuration,
+                                     const job_run& run, std::string_view path)
+{
+    const auto is_usable = [&run](const fleet::route* it)
+    {
+        return it != nullptr && it->kind == fleet::route_kind::batch &&
+               it->host == run.host;
+    };
+    const auto* by_path = configuration.find_route(run.host, path);
+    if (is_usable(by_path))
+        return by_path;
+    const auto* of_job = configuration.find_route_named(run.route);
+    return is_usable(of_job) ? of_job : nullptr;
+}
+
 } // namespace
 
 item_route find_item_route(const fleet::configuration* configuration,
@@ -33,8 +51,8 @@
     if (configuration == nullptr ||
         configuration->version() < run.configuration_version)
         return {route_status::unknown, {}};
-    const auto* route = configuration->find_route(run.host, item.data.path());
-    if (route == nullptr || route->kind != fleet::route_kind::batch)
+    const auto* route = find_batch_route(*configuration, run, item.data.path());
+    if (route == nullptr)
         return {route_status::removed, {}};
     return {route_status::found,
             select_service(*route, run.order + item.index)};
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -163,6 +163,9 @@
 struct job_run
 {
     std::string id;
+
+    /// Name of the route under which the job was accepted, and its host.
+    std::string route;
     std::string host;
 
     /// See `state::batch_job`.
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -146,6 +146,7 @@
         return;
     auto& run = runs_[job.id];
     run.id = job.id;
+    run.route = job.route;
     run.host = job.host;
     run.configuration_version = job.configuration_version;
     run.order = job.accepted_at;
--- a/test/batch/test_decisions.cpp
+++ b/test/batch/test_decisions.cpp
@@ -182,6 +182,46 @@
     BOOST_TEST(counts["b"] == 10);
 }
 
+// Guards against items that are given up because a route of another kind was
+// added whose prefix covers their paths, or because their paths are not under
+// the prefix of their job's route.
+BOOST_AUTO_TEST_CASE(item_keeps_the_route_of_its_job)
+{
+    const auto make_route = [](const std::string& name,
+                               const std::string& path_prefix,
+                               fleet::route_kind kind)
+    {
+        fleet::route it;
+        it.name = name;
+        it.host = "h";
+        it.path_prefix = path_prefix;
+        it.kind = kind;
+        it.services = {{"service of " + name, 1}};
+        return it;
+    };
+    const fleet::configuration configuration(
+        1,
+        {make_route("job", "/jobs/", fleet::route_kind::batch),
+         make_route("call", "/jobs/a/", fleet::route_kind::call),
+         make_route("split", "/jobs/b/", fleet::route_kind::batch)},
+        {}, fleet::request_limits());
+    const auto find_service =
+        [&](const std::string& path, const std::string& host)
+    {
+        batch::job_run job;
+        job.route = "job";
+        job.host = host;
+        batch::item_run item;
+        item.data.set_path(path);
+        return batch::find_item_route(&configuration, job, item).service;
+    };
+    BOOST_TEST(find_service("/jobs/x", "h") == "service of job");
+    BOOST_TEST(find_service("/jobs/a/x", "h") == "service of job");
+    BOOST_TEST(find_service("/other/x", "h") == "service of job");
+    BOOST_TEST(find_service("/jobs/b/x", "h") == "service of split");
+    BOOST_TEST(find_service("/jobs/x", "other").empty());
+}
+
 // Guards against a route that is taken for a removed one because the
 // configuration is missing, or older than the job.
 BOOST_AUTO_TEST_CASE(route_is_removed_only_if_the_configuration_is_new_enough)
