--- a/src/api/ticket_log.hpp
+++ b/src/api/ticket_log.hpp
@@ -17,8 +17,8 @@
 #include <random>
 #include <span>
 #include <string>
-#include <vector>
 #include <system_error>
+#include <vector>
 
 namespace tanagertrack::api
 {
--- a/src/batch/results.hpp
+++ b/src/batch/results.hpp
@@ -93,7 +93,8 @@
         jobs_.confirm(as_of, std::move(done));
     }
 
-    /// Returns the job, or nullptr if this process does not know it, or not yet.
+    /// Returns the job, or nullptr if this process does not know it, or not
+    /// yet.
     const state::batch_job* find_known(std::string_view job) const
     {
         return jobs_.table().find(job);
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -469,8 +469,8 @@
     {
         BOOST_TEST_CONTEXT("second answer " << it)
         {
-            add_target("t1").add(
-                chunked_head(200, head) + chunk(event(1, "a")), true);
+            add_target("t1").add(chunked_head(200, head) + chunk(event(1, "a")),
+                                 true);
             add_target("t2").add(it);
             const auto result = run();
             BOOST_TEST(result.aborted);
--- a/test/platform/test_front.cpp
+++ b/test/platform/test_front.cpp
@@ -153,8 +153,7 @@
     static std::string remove(const std::string& target,
                               const std::string& host)
     {
-        return "DELETE " + target + " HTTP/1.1\r\nHost: " + host +
-               "\r\n\r\n";
+        return "DELETE " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
     }
 
     static std::string job_body(const std::string& items)
@@ -247,14 +246,14 @@
     store.wake();
     BOOST_REQUIRE(run_until(
         context, [&] { return core->jobs().table().find("j1") != nullptr; }));
+    BOOST_TEST(contains(send_request(get("/tanagertrack/lots/j1"), "\r\n\r\n{"),
+                        " 200 "));
     BOOST_TEST(contains(
-        send_request(get("/tanagertrack/lots/j1"), "\r\n\r\n{"), " 200 "));
-    BOOST_TEST(contains(send_request(post("/b/j1", job_body(item("i1")), "j1"),
-                                     "\r\n\r\n{}"),
-                        " 202 "));
-    BOOST_TEST(contains(send_request(post("/b/j2", job_body(item("i1")), "j2"),
-                                     "\r\n\r\n"),
-                        " 503 "));
+        send_request(post("/b/j1", job_body(item("i1")), "j1"), "\r\n\r\n{}"),
+        " 202 "));
+    BOOST_TEST(contains(
+        send_request(post("/b/j2", job_body(item("i1")), "j2"), "\r\n\r\n"),
+        " 503 "));
 }
 
 // A process that starts while the store is unreachable gets the configuration
@@ -618,10 +617,10 @@
 {
     configure(3);
     BOOST_TEST(contains(read_results(), R"("totalCount":1)"));
-    BOOST_TEST(contains(send_request(get("/tanagertrack/items/j1?id=i1", {},
-                                         "lots"),
-                                     "body of i1"),
-                        " 200 "));
+    BOOST_TEST(
+        contains(send_request(get("/tanagertrack/items/j1?id=i1", {}, "lots"),
+                              "body of i1"),
+                 " 200 "));
     BOOST_TEST(contains(
         send_request(remove("/tanagertrack/lots/j1", "lots"), "{}"), " 200 "));
 }
