--- a/src/batch/attempt_decision.cpp
+++ b/src/batch/attempt_decision.cpp
@@ -1,5 +1,7 @@
 #include "batch/attempt_decision.hpp"
 
+#include "http/status.hpp"
+
 #include <algorithm>
 
 namespace tanagertrack::batch
@@ -20,16 +22,11 @@
 /// received so far.
 constexpr std::uint32_t max_broken_resumes = 6;
 
-bool is_success(unsigned status)
-{
-    return status / 100 == 2;
-}
-
 attempt_decision decide_after_answer(item_run& item, unsigned status,
                                      failure_kind kind,
                                      std::uint32_t max_failures)
 {
-    if (is_success(status))
+    if (http::is_success(status))
         return {proto::ITEM_DONE};
     if (kind == failure_kind::counted)
         ++item.failures;
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -1,6 +1,7 @@
 #include "online/request.hpp"
 
 #include "common/logging.hpp"
+#include "http/status.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,14 +22,6 @@
 /// A request is not sent to a target with less time left than this.
 constexpr auto min_time_left = milliseconds(20);
 
-/// Lowest HTTP status of a server error.
-constexpr unsigned first_server_error = 500;
-
-bool is_success(unsigned status)
-{
-    return status / 100 == 2;
-}
-
 std::int64_t ms_between(common::time_point from, common::time_point to)
 {
     return duration_cast<milliseconds>(to - from).count();
@@ -218,7 +211,8 @@
     const bool first_event = event && !first_event_at_;
     if (first_event)
         first_event_at_ = common::clock::now();
-    const bool buffered = !is_stream() || head_.status >= first_server_error;
+    const bool buffered =
+        !is_stream() || head_.status >= http::first_server_error;
     if (!answer_started_ && buffered &&
         unsent_.size() <= environment_.settings.held_answer_bytes)
         return;
@@ -247,7 +241,7 @@
 
     const bool retry_server_error =
         end.result == outcome::complete && !answer_started_ &&
-        end.status >= first_server_error && may_run_again();
+        end.status >= http::first_server_error && may_run_again();
     if (end.result == outcome::complete && !retry_server_error)
         return finish_answer();
     handle_attempt_failure(end);
@@ -299,7 +293,7 @@
 bool request::is_resumable_answer() const
 {
     return call_.repeats == fleet::repetition::resumable && last_event_ &&
-           is_success(head_.status);
+           http::is_success(head_.status);
 }
 
 bool request::may_run_again() const
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -1,6 +1,7 @@
 #include "targets/attempt.hpp"
 
 #include "common/result_code.hpp"
+#include "http/status.hpp"
 
 #include <boost/assert.hpp>
 
@@ -18,13 +19,6 @@
 /// Maximum size of one event of a stream in bytes.
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
 
-constexpr unsigned first_server_error = 500;
-
-bool is_success(unsigned status)
-{
-    return status / 100 == 2;
-}
-
 attempt_result result_of(const attempt_end& end, bool content_received)
 {
     if (end.result == outcome::complete)
@@ -125,7 +119,7 @@
     if (!replaced_ && protocol_.is_leaving(head))
         destination_->hooks().on_leaving(*destination_);
     not_run_ = replaced_ || kind == answer_kind::not_run;
-    splits_events_ = request_.events && is_success(status_);
+    splits_events_ = request_.events && http::is_success(status_);
     ends_with_connection_ = !head.headers.contains("Content-Length") &&
                             !head.headers.contains("Transfer-Encoding");
     if (!not_run_ && hooks_.on_head)
@@ -139,7 +133,7 @@
     if (!splits_events_)
     {
         last_progress_ = common::clock::now();
-        if (is_success(status_))
+        if (http::is_success(status_))
             handle_content();
         if (hooks_.on_piece)
             hooks_.on_piece(piece, std::nullopt);
@@ -221,7 +215,7 @@
 
     // A refusal, or a server error that the request itself may have caused,
     // changes nothing.
-    if (end.result == outcome::complete && status_ < first_server_error)
+    if (end.result == outcome::complete && status_ < http::first_server_error)
         destination_->record_success();
 }
 
--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -177,13 +177,15 @@
         return it;
     }
 
-    static batch::job_terms make_terms(const std::string& job)
+    static batch::job_terms
+    make_terms(const std::string& job,
+               std::chrono::milliseconds due_after = std::chrono::seconds(18))
     {
         batch::job_terms terms;
         terms.job = job;
         terms.route = "r";
         terms.host = "h";
-        terms.due_after = std::chrono::seconds(18);
+        terms.due_after = due_after;
         terms.deadline = common::clock::now() + std::chrono::seconds(10);
         return terms;
     }
@@ -207,10 +209,11 @@
     /// Submits a job and waits for the result. Returns true if the job was
     /// accepted.
     bool accept(const std::string& job,
-                const std::vector<proto::JobItem>& job_items)
+                const std::vector<proto::JobItem>& job_items,
+                std::chrono::milliseconds due_after = std::chrono::seconds(18))
     {
         until([this] { return jobs.is_current(); });
-        const auto result = submit(make_terms(job), job_items);
+        const auto result = submit(make_terms(job, due_after), job_items);
         return until([&] { return result->has_value(); }) && !**result;
     }
 
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -441,20 +441,6 @@
         return items;
     }
 
-    /// Submits a job that is due after this time, and waits until it is
-    /// accepted.
-    void accept(const std::string& job,
-                const std::vector<proto::JobItem>& items,
-                std::chrono::milliseconds due_after)
-    {
-        one.until([&] { return one.jobs.is_current(); });
-        auto terms = one.make_terms(job);
-        terms.due_after = due_after;
-        const auto result = one.submit(terms, items);
-        BOOST_REQUIRE(one.until([&] { return result->has_value(); }));
-        BOOST_REQUIRE(!**result);
-    }
-
     std::size_t pending_items() const
     {
         return one.runner.counts().pending;
@@ -471,9 +457,9 @@
 BOOST_AUTO_TEST_CASE(items_without_targets_do_not_keep_others_from_loading)
 {
     for (const auto* job : {"x1", "x2", "x3"})
-        accept(job, make_items("x", 200, 10), 1h);
+        BOOST_REQUIRE(one.accept(job, make_items("x", 200, 10), 1h));
     BOOST_REQUIRE(one.until([&] { return pending_items() == 600; }));
-    accept("j", make_items("s", 24, 15000), 2h);
+    BOOST_REQUIRE(one.accept("j", make_items("s", 24, 15000), 2h));
     BOOST_TEST(one.until([&] { return one.finished("j"); }));
     BOOST_TEST(pending_items() == 600U);
 }
@@ -483,9 +469,9 @@
     large_items_without_targets_do_not_keep_others_from_loading)
 {
     for (const auto* job : {"x1", "x2", "x3"})
-        accept(job, make_items("x", 100, 60000), 1h);
+        BOOST_REQUIRE(one.accept(job, make_items("x", 100, 60000), 1h));
     BOOST_REQUIRE(one.until([&] { return pending_items() >= 130; }));
-    accept("j", make_items("s", 24, 15000), 2h);
+    BOOST_REQUIRE(one.accept("j", make_items("s", 24, 15000), 2h));
     BOOST_TEST(one.until([&] { return one.finished("j"); }));
     BOOST_TEST(pending_items() < 300U);
 }
@@ -495,8 +481,8 @@
 BOOST_AUTO_TEST_CASE(items_without_targets_do_not_keep_others_from_starting)
 {
     for (const auto* job : {"x1", "x2"})
-        accept(job, make_items("x", 200, 10), 1h);
-    accept("j", make_items("s", 3, 10), 2h);
+        BOOST_REQUIRE(one.accept(job, make_items("x", 200, 10), 1h));
+    BOOST_REQUIRE(one.accept("j", make_items("s", 3, 10), 2h));
     BOOST_TEST(one.until([&] { return one.finished("j"); }));
 }
 
@@ -507,7 +493,7 @@
     auto items = make_items("x", 600, 300);
     const auto others = make_items("s", 3, 15000);
     items.insert(items.end(), others.begin(), others.end());
-    accept("j", items, 1h);
+    BOOST_REQUIRE(one.accept("j", items, 1h));
     BOOST_TEST(one.until([&] { return one.job("j")->results.size() == 3; }));
 }
 
@@ -522,8 +508,9 @@
     one.target_ids.push_back("t2");
     one.peer_items_ahead = 1000;
     for (int n = 0; n < 10; ++n)
-        accept("y" + std::to_string(n), make_items("y", 1, 10), 1h);
-    accept("j", make_items("s", 2, 10), 2h);
+        BOOST_REQUIRE(
+            one.accept("y" + std::to_string(n), make_items("y", 1, 10), 1h));
+    BOOST_REQUIRE(one.accept("j", make_items("s", 2, 10), 2h));
     const auto groups = one.runner.waiting(8);
     BOOST_TEST(groups.size() <= 8U);
     BOOST_TEST(
