Test a job through the runner when a call route covers its items

Change: items_run_after_a_call_route_covers_their_paths submits a job, adds the route and waits past the timeout for removed routes. The fixture gets configure() and make_route(), and reads results for all tests.

--- a/test/batch/batch_fixture.hpp
+++ b/test/batch/batch_fixture.hpp
@@ -14,6 +14,8 @@
 #include "support/scripted_server.hpp"
 #include "support/test_protocol.hpp"
 
+#include <boost/test/unit_test.hpp>
+
 #include <list>
 #include <memory>
 #include <optional>
@@ -119,30 +121,44 @@
         run_ready(cluster.context);
     }
 
-    /// Sets a configuration with the route "r".
-    void add_route(std::uint32_t max_attempts,
-                   std::chrono::milliseconds expires_after = {},
-                   std::uint64_t version = 1)
+    /// Returns a route for batch jobs of the host "h", which the service "s"
+    /// runs.
+    static fleet::route make_route(const std::string& name = "r",
+                                   const std::string& path_prefix = "/")
     {
         fleet::route it;
-        it.name = "r";
+        it.name = name;
         it.host = "h";
-        it.path_prefix = "/";
+        it.path_prefix = path_prefix;
         it.kind = fleet::route_kind::batch;
         it.services = {{"s", 1}};
-        it.max_attempts = max_attempts;
-        it.expires_after = expires_after;
+        it.max_attempts = 3;
+        return it;
+    }
+
+    /// Sets a configuration with these routes.
+    void configure(std::uint64_t version, std::vector<fleet::route> routes)
+    {
         configuration = std::make_shared<fleet::configuration>(
-            version, std::vector{it}, std::vector<fleet::service>(),
+            version, std::move(routes), std::vector<fleet::service>(),
             fleet::request_limits());
     }
 
+    /// Sets a configuration with the route "r".
+    void add_route(std::uint32_t max_attempts,
+                   std::chrono::milliseconds expires_after = {},
+                   std::uint64_t version = 1)
+    {
+        auto it = make_route();
+        it.max_attempts = max_attempts;
+        it.expires_after = expires_after;
+        configure(version, {it});
+    }
+
     /// Sets a configuration without routes.
     void remove_routes(std::uint64_t version)
     {
-        configuration = std::make_shared<fleet::configuration>(
-            version, std::vector<fleet::route>(), std::vector<fleet::service>(),
-            fleet::request_limits());
+        configure(version, {});
     }
 
     void add_target(const std::string& id, const scripted_server& server,
@@ -222,6 +238,23 @@
         return jobs.table().find(id);
     }
 
+    /// Reads the results of a job that this process knows.
+    std::vector<batch::job_result> read(const std::string& id)
+    {
+        std::vector<batch::job_result> out;
+        bool handler_ran = false;
+        results.read(id, 0, 1024UL * 1024, std::chrono::milliseconds(0),
+                     common::clock::now(),
+                     [&](const batch::results_page& it)
+                     {
+                         BOOST_TEST(!it.ec);
+                         out = it.results;
+                         handler_ran = true;
+                     });
+        BOOST_REQUIRE(until([&] { return handler_ran; }));
+        return out;
+    }
+
     static batch::job_log_settings
     make_log_settings(const std::string& member,
                       const store::follower_settings& reading)
--- /dev/null
+++ b/test/batch/test_item_routes.cpp
@@ -0,0 +1,66 @@
+#include "batch/batch_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace tanagertrack;
+using namespace tanagertrack::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+fleet::route make_call_route(const std::string& path_prefix)
+{
+    auto it = batch_process::make_route("call", path_prefix);
+    it.kind = fleet::route_kind::call;
+    it.services = {{"other", 1}};
+    return it;
+}
+
+/// A process with a job that was accepted under the route "r" with the prefix
+/// "/". The paths of its items begin with "/x/". The items wait for a target.
+struct with_waiting_job : batch_cluster
+{
+    with_waiting_job()
+    {
+        server.make_answer = make_events(3);
+        BOOST_REQUIRE(one.accept("j", {make_item("a"), make_item("b")}));
+    }
+
+    static proto::JobItem make_item(const std::string& id)
+    {
+        auto it = batch_process::make_item(id);
+        it.set_path("/x/" + id);
+        return it;
+    }
+
+    /// Returns true if all items are done once the service "s" has a target.
+    bool completes()
+    {
+        one.add_target("t1", server);
+        return one.until([&] { return one.finished("j"); }) &&
+               std::ranges::all_of(one.read("j"), [](const auto& it)
+                                   { return it.state == proto::ITEM_DONE; });
+    }
+
+    scripted_server& server = add_server();
+    batch_process one{*this};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(batch_item_routes, with_waiting_job)
+
+// Guards against items of an accepted job that are given up because a route of
+// another kind was added whose longer prefix covers their paths.
+BOOST_AUTO_TEST_CASE(items_run_after_a_call_route_covers_their_paths)
+{
+    one.configure(2, {batch_process::make_route(), make_call_route("/x/")});
+    one.run_past_missing_route_timeout();
+    BOOST_TEST(one.job("j")->results.empty());
+    BOOST_TEST(completes());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -31,17 +31,7 @@
     static std::vector<batch::job_result> read(batch_process& process,
                                                const std::string& job)
     {
-        std::vector<batch::job_result> out;
-        bool handler_ran = false;
-        process.results.read(job, 0, 1024UL * 1024, 0ms, common::clock::now(),
-                             [&](const batch::results_page& it)
-                             {
-                                 BOOST_TEST(!it.ec);
-                                 out = it.results;
-                                 handler_ran = true;
-                             });
-        BOOST_REQUIRE(process.until([&] { return handler_ran; }));
-        return out;
+        return process.read(job);
     }
 
     /// Returns true if the process knows progress of an item of the job "j".
