Let the route of a job come before the prefixes of later routes

What callers saw: a batch route that was added with a longer prefix, which covers the paths of an accepted job's items, sent these items to the service of the added route. The job's own route was there, unchanged.

Cause: find_batch_route asked for the item's path first and for the route of the job only if the path selected no batch route.

--- a/src/batch/item_route.cpp
+++ b/src/batch/item_route.cpp
@@ -23,9 +23,10 @@
     return {};
 }
 
-/// Returns the batch route that runs an item: the one that the item's path
-/// selects, or else the one under which its job was accepted. The path may
-/// select a route of another kind that was added later, or none.
+/// Returns the batch route that runs an item: the one under which its job was
+/// accepted, whatever prefixes other routes have. If that route was replaced,
+/// for example by the parts into which it was split, the item's path selects
+/// the route. Returns nullptr if there is neither.
 const fleet::route* find_batch_route(const fleet::configuration& configuration,
                                      const job_run& run, std::string_view path)
 {
@@ -34,11 +35,11 @@
         return it != nullptr && it->kind == fleet::route_kind::batch &&
                it->host == run.host;
     };
-    const auto* by_path = configuration.find_route(run.host, path);
-    if (is_usable(by_path))
-        return by_path;
     const auto* of_job = configuration.find_route_named(run.route);
-    return is_usable(of_job) ? of_job : nullptr;
+    if (is_usable(of_job))
+        return of_job;
+    const auto* by_path = configuration.find_route(run.host, path);
+    return is_usable(by_path) ? by_path : nullptr;
 }
 
 } // namespace
--- a/src/batch/item_route.hpp
+++ b/src/batch/item_route.hpp
@@ -14,8 +14,9 @@
 {
 
 /// Returns the route of an item: the service that the item names, or the one
-/// that the batch route of its path or else of its job selects. The same
-/// service is selected until the route changes. `configuration` may be null.
+/// that the route of its job selects, or else, if that route was replaced, the
+/// batch route of its path. The same service is selected until the route
+/// changes. `configuration` may be null.
 item_route find_item_route(const fleet::configuration* configuration,
                            const job_run& run, const item_run& item);
 
--- a/test/batch/test_item_routes.cpp
+++ b/test/batch/test_item_routes.cpp
@@ -63,4 +63,14 @@
     BOOST_TEST(completes());
 }
 
+// Guards against items of an accepted job that another service gets because a
+// batch route was added whose longer prefix covers their paths.
+BOOST_AUTO_TEST_CASE(items_run_at_their_service_after_a_batch_route_covers_them)
+{
+    auto added = batch_process::make_route("added", "/x/");
+    added.services = {{"other", 1}};
+    one.configure(2, {batch_process::make_route(), added});
+    BOOST_TEST(completes());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
