Look only at batch routes for the items of a replaced route

What callers saw: items of an accepted job were dead_lettered 3 s after their route was replaced by a batch route of another name, as in a split, if a route of another kind covered their paths with a longer prefix.

Cause: for a job whose own route is gone, the longest prefix of all routes was looked up; a route of another kind counted as "the route was removed".

Change: configuration::find_batch_route looks only at routes for batch jobs, with an index of its own, so that a route of another kind with the same prefix does not hide one either.

Evidence: items_run_under_a_replaced_route_that_a_call_route_covers failed before the change (both checks) and passes with it, like all of test_batch and test_fleet.

--- a/src/batch/item_route.cpp
+++ b/src/batch/item_route.cpp
@@ -26,20 +26,16 @@
 /// Returns the batch route that runs an item: the one under which its job was
 /// accepted, whatever prefixes other routes have. If that route was replaced,
 /// for example by the parts into which it was split, the item's path selects
-/// the route. Returns nullptr if there is neither.
+/// one of the batch routes. Returns nullptr if there is neither.
 const fleet::route* find_batch_route(const fleet::configuration& configuration,
                                      const job_run& run, std::string_view path)
 {
-    const auto is_usable = [&run](const fleet::route* it)
-    {
-        return it != nullptr && it->kind == fleet::route_kind::batch &&
-               it->host == run.host;
-    };
     const auto* of_job = configuration.find_route_named(run.route);
-    if (is_usable(of_job))
-        return of_job;
-    const auto* by_path = configuration.find_route(run.host, path);
-    return is_usable(by_path) ? by_path : nullptr;
+    const bool is_in_effect = of_job != nullptr &&
+                              of_job->kind == fleet::route_kind::batch &&
+                              of_job->host == run.host;
+    return is_in_effect ? of_job
+                        : configuration.find_batch_route(run.host, path);
 }
 
 } // namespace
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -28,7 +28,10 @@
     for (std::size_t i = 0; i < routes_.size(); ++i)
     {
         const auto& it = routes_[i];
-        by_prefix_[prefix_key(it.host, it.path_prefix)] = i;
+        const auto key = prefix_key(it.host, it.path_prefix);
+        by_prefix_[key] = i;
+        if (it.kind == route_kind::batch)
+            batch_by_prefix_[key] = i;
         by_host_.emplace(it.host, i);
         by_name_[it.name] = i;
     }
@@ -38,6 +41,19 @@
 
 const route* configuration::find_route(std::string_view host,
                                        std::string_view path) const
+{
+    return find_longest_prefix(by_prefix_, host, path);
+}
+
+const route* configuration::find_batch_route(std::string_view host,
+                                             std::string_view path) const
+{
+    return find_longest_prefix(batch_by_prefix_, host, path);
+}
+
+const route* configuration::find_longest_prefix(const index& prefixes,
+                                                std::string_view host,
+                                                std::string_view path) const
 {
     auto key = prefix_key(host, path);
     while (key.size() > host.size())
@@ -46,8 +62,8 @@
         key.resize(key.rfind('/') + 1);
         if (key.size() <= host.size())
             return nullptr;
-        const auto it = by_prefix_.find(key);
-        if (it != by_prefix_.end())
+        const auto it = prefixes.find(key);
+        if (it != prefixes.end())
             return &routes_[it->second];
         key.pop_back();
     }
--- a/src/fleet/configuration.hpp
+++ b/src/fleet/configuration.hpp
@@ -153,6 +153,10 @@
     /// number of slashes in `path`.
     const route* find_route(std::string_view host, std::string_view path) const;
 
+    /// The same among the routes for batch jobs only.
+    const route* find_batch_route(std::string_view host,
+                                  std::string_view path) const;
+
     /// Returns true if there is a route of this host.
     bool has_host(std::string_view host) const;
 
@@ -175,13 +179,21 @@
     using index = std::unordered_map<std::string, std::size_t, text_hash,
                                      std::equal_to<>>;
 
+    /// Returns the route with the longest prefix that `path` begins with, among
+    /// the positions in `prefixes`, or nullptr.
+    const route* find_longest_prefix(const index& prefixes,
+                                     std::string_view host,
+                                     std::string_view path) const;
+
     std::uint64_t version_;
     std::vector<route> routes_;
     std::vector<service> services_;
     request_limits limits_;
 
-    /// Positions of routes by host and prefix, see prefix_key() in the source.
+    /// Positions of routes by host and prefix, see prefix_key() in the source:
+    /// of all routes, and of those for batch jobs.
     index by_prefix_;
+    index batch_by_prefix_;
 
     /// Position of one route of each host.
     index by_host_;
--- a/test/batch/test_item_routes.cpp
+++ b/test/batch/test_item_routes.cpp
@@ -73,4 +73,16 @@
     BOOST_TEST(completes());
 }
 
+// Guards against items that are given up although a batch route still covers
+// them, because the route of their job was replaced by it and a route of
+// another kind has a longer prefix.
+BOOST_AUTO_TEST_CASE(items_run_under_a_replaced_route_that_a_call_route_covers)
+{
+    one.configure(2, {batch_process::make_route("replacement", "/"),
+                      make_call_route("/x/")});
+    one.run_past_missing_route_timeout();
+    BOOST_TEST(one.job("j")->results.empty());
+    BOOST_TEST(completes());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/fleet/test_configuration.cpp
+++ b/test/fleet/test_configuration.cpp
@@ -51,6 +51,31 @@
     BOOST_TEST(!it.has_host("k"));
 }
 
+// Guards against a batch route that is hidden by a route of another kind with a
+// longer prefix, or with the same one.
+BOOST_AUTO_TEST_CASE(batch_route_is_found_whatever_other_routes_cover_the_path)
+{
+    auto batch = make_route("batch", "h", "/x/");
+    batch.kind = fleet::route_kind::batch;
+    auto nested_batch = make_route("nested", "h", "/x/y/z/");
+    nested_batch.kind = fleet::route_kind::batch;
+    const fleet::configuration it(1,
+                                  {batch, nested_batch,
+                                   make_route("same", "h", "/x/"),
+                                   make_route("longer", "h", "/x/y/")},
+                                  {}, {});
+    const auto find_name = [&it](std::string_view host, std::string_view path)
+    {
+        const auto* route = it.find_batch_route(host, path);
+        return route == nullptr ? "" : route->name;
+    };
+    BOOST_TEST(find_name("h", "/x/1") == "batch");
+    BOOST_TEST(find_name("h", "/x/y/1") == "batch");
+    BOOST_TEST(find_name("h", "/x/y/z/1") == "nested");
+    BOOST_TEST(find_name("h", "/other").empty());
+    BOOST_TEST(find_name("g", "/x/1").empty());
+}
+
 BOOST_AUTO_TEST_CASE(last_route_of_the_same_host_and_prefix_is_found)
 {
     const fleet::configuration it(
