Take an item's service, failure limit and expiry from one route

What callers saw: after the route of an accepted job was replaced by a batch route of another name, items failed for good after the default number of failures instead of that of their route, and items whose prompt crashes targets were never given up.

Cause: the service was looked up by the path, the limit and the expiry by the name of the job's route; the answers were about different routes.

Change: find_item_route returns service, limit and expiry of one route. find_max_failures and find_time_to_expiry are gone. The limit is looked up when an attempt ends, so that it is that of the configuration in effect, as before.

Evidence: item_has_the_failure_limit_of_the_route_that_runs_it (6 requests instead of 10) and item_expires_as_the_route_that_runs_it_says failed before; all of test_batch passes.

--- a/src/batch/item_route.cpp
+++ b/src/batch/item_route.cpp
@@ -47,34 +47,16 @@
         return {route_status::found, item.data.service()};
     if (configuration == nullptr ||
         configuration->version() < run.configuration_version)
-        return {route_status::unknown, {}};
+        return {route_status::unknown};
     const auto* route = find_batch_route(*configuration, run, item.data.path());
     if (route == nullptr)
-        return {route_status::removed, {}};
-    return {route_status::found,
-            select_service(*route, run.order + item.index)};
-}
-
-std::uint32_t find_max_failures(const fleet::configuration* configuration,
-                                const state::batch_job* job,
-                                std::uint32_t default_max_failures)
-{
-    if (configuration == nullptr || job == nullptr)
-        return default_max_failures;
-    const auto* route = configuration->find_route_named(job->route);
-    return route == nullptr ? default_max_failures : route->max_attempts;
-}
-
-std::optional<std::chrono::milliseconds>
-find_time_to_expiry(const fleet::configuration* configuration,
-                    const state::batch_job& job)
-{
-    const auto* route = configuration == nullptr
-                            ? nullptr
-                            : configuration->find_route_named(job.route);
-    if (route == nullptr || route->expires_after.count() == 0)
-        return std::nullopt;
-    return route->expires_after - std::chrono::milliseconds(job.due_after_ms);
+        return {route_status::removed};
+    item_route out{route_status::found};
+    out.service = select_service(*route, run.order + item.index);
+    out.max_failures = route->max_attempts;
+    if (route->expires_after.count() != 0)
+        out.expires_after = route->expires_after;
+    return out;
 }
 
 } // namespace tanagertrack::batch
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -10,6 +10,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <chrono>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -56,13 +57,21 @@
     found
 };
 
-/// Route of an item.
+/// Route of an item, with all that it says about the item.
 struct item_route
 {
     route_status status = route_status::unknown;
 
     /// Service that runs the item, if the route was found.
     std::string service;
+
+    /// Counted failures after which the item fails for good; std::nullopt if
+    /// there is no route.
+    std::optional<std::uint32_t> max_failures;
+
+    /// Time from the submission of the job after which the item may be given
+    /// up; std::nullopt if there is no route, or if it states none.
+    std::optional<std::chrono::milliseconds> expires_after;
 };
 
 /// An item that this process runs, through all its attempts.
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -431,10 +431,12 @@
                                milliseconds refused_for, common::time_point now)
 {
     item->not_before = now + std::min(refused_for, max_quarantine_pause);
-    const auto* job = jobs_.table().find(run.id);
-    const auto to_expiry =
-        find_time_to_expiry(environment_.configuration().get(), *job);
-    if (job->due_after_ms != 0 && to_expiry && now > run.due + *to_expiry)
+    const auto due_after =
+        milliseconds(jobs_.table().find(run.id)->due_after_ms);
+    const auto expires_after = item->route.expires_after;
+    const bool has_expired = due_after.count() != 0 && expires_after &&
+                             now > run.due - due_after + *expires_after;
+    if (has_expired)
         finish_item(item, proto::ITEM_DEAD, 0, {});
 }
 
@@ -562,9 +564,8 @@
     const auto& target = attempt->destination()->id();
     const auto decision = decide_after_attempt(
         *item, end, environment_.classify_failure(end.status),
-        find_max_failures(environment_.configuration().get(),
-                          jobs_.table().find(item->job),
-                          environment_.settings.max_failures));
+        find_route(*item).max_failures.value_or(
+            environment_.settings.max_failures));
     if (decision.end != proto::ITEM_DONE)
         common::log_info("item_attempt_failed",
                          {{"job", item->job},
@@ -631,11 +632,14 @@
 
 void runner::requeue(const item_run_ptr& item)
 {
-    if (item->closed)
-        return;
-    const auto& run = runs_.find(item->job)->second;
-    pending_.insert(
-        item, find_item_route(environment_.configuration().get(), run, *item));
+    if (!item->closed)
+        pending_.insert(item, find_route(*item));
+}
+
+item_route runner::find_route(const item_run& item) const
+{
+    return find_item_route(environment_.configuration().get(),
+                           runs_.find(item.job)->second, item);
 }
 
 bool runner::preempt_one(targets::target& target)
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -185,6 +185,9 @@
     void record_run_time(const item_run& item);
     void requeue(const item_run_ptr& item);
 
+    /// Returns the route of an item in the configuration in effect.
+    item_route find_route(const item_run& item) const;
+
     /// Adds the waiting items of a service to `groups`, which gets at most
     /// `max_groups` in total.
     static void add_waiting_groups(std::vector<routing::waiting_items>& groups,
--- a/test/batch/test_item_routes.cpp
+++ b/test/batch/test_item_routes.cpp
@@ -85,4 +85,39 @@
     BOOST_TEST(completes());
 }
 
+// Guards against an item that fails for good too early, or too late, because
+// the number of failures is that of no route: the route that runs it has
+// another name than the one of its job.
+BOOST_AUTO_TEST_CASE(item_has_the_failure_limit_of_the_route_that_runs_it)
+{
+    const auto default_failures = one.settings.max_failures;
+    auto replacement = batch_process::make_route("replacement");
+    replacement.max_attempts = default_failures + 2;
+    one.configure(2, {replacement});
+    server.make_answer = [](const std::string& it)
+    {
+        return scripted_answer{
+            whole_answer(500, "no", answers_to(field_of(it, "Id")))};
+    };
+    one.add_target("t1", server);
+    BOOST_REQUIRE(one.until([&] { return one.finished("j"); }));
+    BOOST_TEST(server.requests.size() == 2U * replacement.max_attempts);
+}
+
+// Guards against items that wait for ever because the time after which they may
+// be given up is that of no route.
+BOOST_AUTO_TEST_CASE(item_expires_as_the_route_that_runs_it_says)
+{
+    auto replacement = batch_process::make_route("replacement");
+    replacement.expires_after = 300ms;
+    one.configure(2, {replacement});
+    one.environment.time_refused = [](const routing::prompt&)
+    {
+        return std::optional(10ms);
+    };
+    one.add_target("t1", server);
+    BOOST_TEST(one.until([&] { return one.finished("j"); }));
+    BOOST_TEST(server.requests.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
