--- /dev/null
+++ b/test/platform/test_accepted_jobs.cpp
@@ -0,0 +1,80 @@
+#include "platform/front_fixture.hpp"
+
+using namespace tanagertrack;
+using namespace tanagertrack::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// An entry that has accepted the job "j1" with the item "i1" under the only
+/// route of the host "lots".
+struct with_job_of_own_host : serving_front
+{
+    with_job_of_own_host()
+    {
+        configure(2, R"(,{"name":"l","host":"lots","pathPrefix":"/l/",
+                        "service":"s","kind":"batch","maxAttempts":2,
+                        "dueMs":18000,"cap":1000})");
+
+        // The item runs for as long as the test.
+        engine.make_answer = [](const std::string&)
+        {
+            return scripted_answer{};
+        };
+        BOOST_REQUIRE(contains(submit(), " 202 "));
+    }
+
+    std::string submit()
+    {
+        return send_request(post("/l/j1", job_body(item("i1")), "j1", "lots"),
+                            "\r\n\r\n{}");
+    }
+
+    std::string read_results(const std::string& host = "lots")
+    {
+        return send_request(get("/tanagertrack/lots/j1", {}, host),
+                            "\r\n\r\n{");
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(platform_accepted_jobs, with_job_of_own_host)
+
+// Guards against an accepted job that is out of reach for its caller once the
+// operator has removed its route, the only one of its host.
+BOOST_AUTO_TEST_CASE(accepted_job_outlasts_its_route)
+{
+    configure(3);
+    BOOST_TEST(contains(read_results(), R"("totalCount":1)"));
+    BOOST_TEST(
+        contains(send_request(get("/tanagertrack/items/j1?id=i1", {}, "lots"),
+                              "body of i1"),
+                 " 200 "));
+    BOOST_TEST(contains(
+        send_request(remove("/tanagertrack/lots/j1", "lots"), "{}"), " 200 "));
+}
+
+// Guards against the refusal of a repeated submission of an accepted job after
+// its route was removed. Other submissions to the removed route get 404.
+BOOST_AUTO_TEST_CASE(repeated_submission_is_accepted_without_its_route)
+{
+    configure(3);
+    BOOST_TEST(contains(submit(), " 202 "));
+    for (const auto* host : {"lots", "h"})
+    {
+        const auto other = post("/l/j2", job_body(item("i1")), "j2", host);
+        BOOST_TEST(contains(send_request(other, "\r\n\r\n"), " 404 "));
+    }
+}
+
+// Guards against a job that is disclosed under another host name.
+BOOST_AUTO_TEST_CASE(job_is_found_only_under_its_host)
+{
+    BOOST_TEST(contains(read_results(), R"("totalCount":1)"));
+    for (const auto* host : {"h", "nobody"})
+        BOOST_TEST(contains(read_results(host), " 404 "));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/test_front.cpp
+++ b/test/platform/test_front.cpp
@@ -1,197 +1,10 @@
-#include "common/base64.hpp"
-#include "common/metrics.hpp"
-#include "entry/entry_core.hpp"
-#include "platform/engine_protocol.hpp"
-#include "platform/platform_edge.hpp"
-#include "support/async_client.hpp"
-#include "support/fake_store.hpp"
-#include "support/scripted_server.hpp"
-
-#include <boost/test/unit_test.hpp>
-
-#include <memory>
-#include <string>
+#include "platform/front_fixture.hpp"
 
 using namespace tanagertrack;
 using namespace tanagertrack::test;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-bool contains(const std::string& text, std::string_view part)
-{
-    return text.find(part) != std::string::npos;
-}
-
-/// Returns the value of a header field, or an empty string if it is missing.
-std::string field_of(const std::string& head, const std::string& name)
-{
-    const auto field = head.find("\r\n" + name + ": ");
-    if (field == std::string::npos)
-        return {};
-    const auto begin = field + name.size() + 4;
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
-/// An entry with the platform's edge that runs on the context of the test, with
-/// a fake store and one target whose responses the test sets.
-struct fixture
-{
-    fixture()
-    {
-        settings.callers = "platform";
-        settings.name = "e1";
-        settings.address = "127.0.0.1";
-        settings.data_centre = "a";
-        settings.peer.port = free_port();
-        settings.platform.front = {"127.0.0.1", free_port()};
-        settings.platform.ready = {"127.0.0.1", free_port()};
-        settings.batch.result_flush_interval = 1ms;
-        settings.store.targets_interval = 0ms;
-        settings.store.jobs_interval = 0ms;
-        core = std::make_unique<entry::entry_core>(
-            context, settings, metrics,
-            entry::core_parts{store.service(), platform::make_engine_protocol(),
-                              platform::classify_failure});
-        edge = platform::make_platform_edge(
-            *core, [this] { targets_known = true; }, [this] { return ready; });
-        core->on_configured([this](const auto& it)
-                            { edge.handle_configuration(it); });
-        BOOST_REQUIRE(!edge.start());
-        core->start();
-        engine.make_answer = [](const std::string& request)
-        {
-            return scripted_answer{whole_answer(
-                200, "answer",
-                "X-Tanagertrack-Request-Id: " +
-                    field_of(request, "X-Tanagertrack-Request-Id") +
-                    "\r\nX-Tanagertrack-Server-Stamp: st\r\n")};
-        };
-    }
-
-    ~fixture()
-    {
-        edge.close();
-        engine.stop();
-        run_ready(context);
-    }
-
-    /// Writes a record into the fake store; std::nullopt removes the key.
-    void put(const std::string& topic, const std::string& key,
-             const std::optional<std::string>& value)
-    {
-        store.model.put(topic, key, value, common::clock::now());
-        store.wake();
-    }
-
-    std::string configuration_text(unsigned version,
-                                   const std::string& more_routes = {}) const
-    {
-        return R"({"version":)" + std::to_string(version) + R"(,"routes":[
-            {"name":"c","host":"h","pathPrefix":"/c/","service":"s",
-             "kind":"idempotent","maxAttempts":2,"timeoutMs":2000},
-            {"name":"b","host":"h","pathPrefix":"/b/","service":"s",
-             "kind":"batch","maxAttempts":2,"dueMs":18000,"cap":1000})" +
-               more_routes + R"(],"services":[{"name":"s"}],
-            "limits":{"maxHeaderBytes":2000,"maxBodyBytes":3000,
-                      "headerTimeoutMs":300,"idleTimeoutMs":5000}})";
-    }
-
-    void configure(unsigned version = 1, const std::string& more_routes = {})
-    {
-        put("keyed.op", "config", configuration_text(version, more_routes));
-        BOOST_REQUIRE(run_until(context,
-                                [&]
-                                {
-                                    const auto& it = core->configuration();
-                                    return it && it->version() == version;
-                                }));
-    }
-
-    std::string announcement(unsigned seq, const std::string& state) const
-    {
-        return R"({"service":"s","address":")" + to_string(engine.address()) +
-               R"(","zone":"a","slots":4,"state":")" + state + R"(","seq":)" +
-               std::to_string(seq) + R"(,"born":1})";
-    }
-
-    void add_engine()
-    {
-        put("keyed.servers", "t1", announcement(1, "ready"));
-        BOOST_REQUIRE(
-            run_until(context, [&] { return core->targets().size() == 1; }));
-    }
-
-    /// Sends a request on a new connection to the listener for callers and
-    /// returns what arrives until `mark` or the end of the connection.
-    std::string send_request(const std::string& request,
-                             const std::string& mark)
-    {
-        async_client client(context, settings.platform.front.port);
-        return client.send_and_wait(request, mark);
-    }
-
-    static std::string get(const std::string& target,
-                           const std::string& fields = {},
-                           const std::string& host = "h")
-    {
-        return "GET " + target + " HTTP/1.1\r\nHost: " + host +
-               "\r\nX-Tanagertrack-Request-Id: r1\r\n" + fields + "\r\n";
-    }
-
-    static std::string post(const std::string& target, const std::string& body,
-                            const std::string& id = "r1",
-                            const std::string& host = "h")
-    {
-        return "POST " + target + " HTTP/1.1\r\nHost: " + host +
-               "\r\nX-Tanagertrack-Request-Id: " + id +
-               "\r\nContent-Length: " + std::to_string(body.size()) +
-               "\r\n\r\n" + body;
-    }
-
-    static std::string remove(const std::string& target,
-                              const std::string& host)
-    {
-        return "DELETE " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
-    }
-
-    static std::string job_body(const std::string& items)
-    {
-        return R"({"items":[)" + items + "]}";
-    }
-
-    static std::string item(const std::string& id, unsigned tokens = 10)
-    {
-        return R"({"id":")" + id + R"(","path":"/b/x","headers":{"A":"b"},)" +
-               R"("body":")" + common::encode_base64("body of " + id) +
-               R"(","tokenCount":)" + std::to_string(tokens) + "}";
-    }
-
-    boost::asio::io_context context;
-    fake_store store{context};
-    scripted_server engine{context};
-    config::settings settings;
-    common::metrics_registry metrics{1000};
-    std::unique_ptr<entry::entry_core> core;
-    entry::edge edge;
-    bool targets_known = false;
-    bool ready = false;
-};
-
-/// An entry with a configuration and a target.
-struct serving : fixture
-{
-    serving()
-    {
-        configure();
-        add_engine();
-    }
-};
-
-} // namespace
-
-BOOST_FIXTURE_TEST_SUITE(platform_front_start, fixture)
+BOOST_FIXTURE_TEST_SUITE(platform_front_start, front_fixture)
 
 // Without a configuration it is unknown whether a route exists: 404 would mean
 // that it does not.
@@ -263,7 +76,7 @@
     configure(3);
     add_engine();
     const auto state = edge.export_state();
-    fixture other;
+    front_fixture other;
     other.store.read_outcome = []
     {
         return call_outcome::refused;
@@ -310,7 +123,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_SUITE(platform_front, serving)
+BOOST_FIXTURE_TEST_SUITE(platform_front, serving_front)
 
 BOOST_AUTO_TEST_CASE(
     request_is_forwarded_and_the_response_keeps_its_header_fields)
@@ -575,78 +388,6 @@
     BOOST_TEST(contains(sent, "Kept: 1\r\n"));
 }
 
-namespace
-{
-
-/// An entry that has accepted the job "j1" with the item "i1" under the only
-/// route of the host "lots".
-struct with_job_of_own_host : serving
-{
-    with_job_of_own_host()
-    {
-        configure(2, R"(,{"name":"l","host":"lots","pathPrefix":"/l/",
-                        "service":"s","kind":"batch","maxAttempts":2,
-                        "dueMs":18000,"cap":1000})");
-
-        // The item runs for as long as the test.
-        engine.make_answer = [](const std::string&)
-        {
-            return scripted_answer{};
-        };
-        BOOST_REQUIRE(contains(submit(), " 202 "));
-    }
-
-    std::string submit()
-    {
-        return send_request(post("/l/j1", job_body(item("i1")), "j1", "lots"),
-                            "\r\n\r\n{}");
-    }
-
-    std::string read_results(const std::string& host = "lots")
-    {
-        return send_request(get("/tanagertrack/lots/j1", {}, host),
-                            "\r\n\r\n{");
-    }
-};
-
-} // namespace
-
-// Guards against an accepted job that is out of reach for its caller once the
-// operator has removed its route, the only one of its host.
-BOOST_FIXTURE_TEST_CASE(accepted_job_outlasts_its_route, with_job_of_own_host)
-{
-    configure(3);
-    BOOST_TEST(contains(read_results(), R"("totalCount":1)"));
-    BOOST_TEST(
-        contains(send_request(get("/tanagertrack/items/j1?id=i1", {}, "lots"),
-                              "body of i1"),
-                 " 200 "));
-    BOOST_TEST(contains(
-        send_request(remove("/tanagertrack/lots/j1", "lots"), "{}"), " 200 "));
-}
-
-// Guards against the refusal of a repeated submission of an accepted job after
-// its route was removed. Other submissions to the removed route get 404.
-BOOST_FIXTURE_TEST_CASE(repeated_submission_is_accepted_without_its_route,
-                        with_job_of_own_host)
-{
-    configure(3);
-    BOOST_TEST(contains(submit(), " 202 "));
-    for (const auto* host : {"lots", "h"})
-    {
-        const auto other = post("/l/j2", job_body(item("i1")), "j2", host);
-        BOOST_TEST(contains(send_request(other, "\r\n\r\n"), " 404 "));
-    }
-}
-
-// Guards against a job that is disclosed under another host name.
-BOOST_FIXTURE_TEST_CASE(job_is_found_only_under_its_host, with_job_of_own_host)
-{
-    BOOST_TEST(contains(read_results(), R"("totalCount":1)"));
-    for (const auto* host : {"h", "nobody"})
-        BOOST_TEST(contains(read_results(host), " 404 "));
-}
-
 BOOST_AUTO_TEST_CASE(unsupported_method_on_a_job_gets_405)
 {
     BOOST_TEST(
