--- a/test/platform/front_fixture.hpp
+++ b/test/platform/front_fixture.hpp
@@ -30,7 +30,10 @@
 /// a fake store and one target whose responses the test sets.
 struct front_fixture
 {
-    front_fixture()
+    /// `jobs_interval` is the minimum time between two reads of the log of
+    /// jobs, besides those that a call needs.
+    explicit front_fixture(
+        std::chrono::milliseconds jobs_interval = std::chrono::milliseconds(0))
     {
         settings.callers = "platform";
         settings.name = "e1";
@@ -41,7 +44,7 @@
         settings.platform.ready = {"127.0.0.1", free_port()};
         settings.batch.result_flush_interval = std::chrono::milliseconds(1);
         settings.store.targets_interval = std::chrono::milliseconds(0);
-        settings.store.jobs_interval = std::chrono::milliseconds(0);
+        settings.store.jobs_interval = jobs_interval;
         core = std::make_unique<entry::entry_core>(
             context, settings, metrics,
             entry::core_parts{store.service(), platform::make_engine_protocol(),
@@ -77,6 +80,27 @@
         store.wake();
     }
 
+    /// Appends the records with which another entry accepts a job of the item
+    /// "i1" under the route "b".
+    void append_accepted_job(const std::string& id, const std::string& host)
+    {
+        proto::JobRecord part;
+        part.mutable_part()->set_job(id);
+        auto& accepted_item = *part.mutable_part()->add_items();
+        accepted_item.set_id("i1");
+        accepted_item.set_path("/b/x");
+        proto::JobRecord commit;
+        commit.mutable_commit()->set_job(id);
+        commit.mutable_commit()->set_route("b");
+        commit.mutable_commit()->set_host(host);
+        commit.mutable_commit()->set_member("other");
+        commit.mutable_commit()->set_item_count(1);
+        store.model.append(
+            {"jobs", 0, {part.SerializeAsString(), commit.SerializeAsString()}},
+            common::clock::now());
+        store.wake();
+    }
+
     std::string configuration_text(unsigned version,
                                    const std::string& more_routes = {}) const
     {
@@ -174,7 +198,9 @@
 /// An entry with a configuration and a target.
 struct serving_front : front_fixture
 {
-    serving_front()
+    explicit serving_front(
+        std::chrono::milliseconds jobs_interval = std::chrono::milliseconds(0))
+        : front_fixture(jobs_interval)
     {
         configure();
         add_engine();
--- a/test/platform/test_accepted_jobs.cpp
+++ b/test/platform/test_accepted_jobs.cpp
@@ -101,3 +101,71 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+
+/// An entry that reads the log of jobs only when a call needs its end. Another
+/// entry has accepted the job "j1" since, and a route for calls covers the
+/// paths of its route.
+struct with_unread_job : serving_front
+{
+    with_unread_job() : serving_front(1h)
+    {
+        configure(2, std::string(job_route) + call_route("/l/x/"));
+        BOOST_REQUIRE(
+            run_until(context, [&] { return core->jobs().is_current(); }));
+        append_accepted_job("j1", "lots");
+        BOOST_REQUIRE(core->jobs().table().find("j1") == nullptr);
+    }
+
+    std::string submit(const std::string& id, const std::string& path = "/l/x/")
+    {
+        return send_request(post(path + id, job_body(item("i1")), id, "lots"),
+                            "\r\n\r\n");
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(platform_unread_jobs, with_unread_job)
+
+// Guards against a repeated submission that is forwarded to a target, or gets
+// 404, because this entry has not read the record of the acceptance yet.
+BOOST_AUTO_TEST_CASE(repeated_submission_is_looked_up_in_the_log)
+{
+    BOOST_TEST(contains(submit("j1"), " 202 "));
+    append_accepted_job("j2", "lots");
+    configure(3);
+    BOOST_TEST(contains(submit("j2"), " 202 "));
+    BOOST_TEST(engine.requests.empty());
+}
+
+// Guards against a repeated submission that is forwarded to a target because it
+// is unknown, without the store, whether its job was accepted.
+BOOST_AUTO_TEST_CASE(possible_submission_is_refused_while_the_log_is_unreadable)
+{
+    store.read_outcome = []
+    {
+        return call_outcome::refused;
+    };
+    const auto answer = submit("j1");
+    BOOST_TEST(contains(answer, " 503 "));
+    BOOST_TEST(contains(answer, "Retry-After: "));
+    BOOST_TEST(engine.requests.empty());
+    BOOST_TEST(
+        contains(send_request(post("/l/x/r1", "{\"question\":1}", "r1", "lots"),
+                              "answer"),
+                 " 200 "));
+}
+
+// Guards against online requests that are refused, or answered as a job,
+// because their body looks like that of a submission.
+BOOST_AUTO_TEST_CASE(request_that_looks_like_a_submission_is_forwarded)
+{
+    BOOST_TEST(contains(submit("r1"), " 200 "));
+    BOOST_TEST(engine.requests.size() == 1);
+    BOOST_TEST(contains(submit("r2", "/other/"), " 404 "));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/test_front.cpp
+++ b/test/platform/test_front.cpp
@@ -42,21 +42,7 @@
 // not know the configuration yet, but has read the log of jobs.
 BOOST_AUTO_TEST_CASE(accepted_job_is_found_before_the_first_configuration)
 {
-    proto::JobRecord part;
-    part.mutable_part()->set_job("j1");
-    auto& accepted_item = *part.mutable_part()->add_items();
-    accepted_item.set_id("i1");
-    accepted_item.set_path("/b/x");
-    proto::JobRecord commit;
-    commit.mutable_commit()->set_job("j1");
-    commit.mutable_commit()->set_route("b");
-    commit.mutable_commit()->set_host("h");
-    commit.mutable_commit()->set_member("other");
-    commit.mutable_commit()->set_item_count(1);
-    store.model.append(
-        {"jobs", 0, {part.SerializeAsString(), commit.SerializeAsString()}},
-        common::clock::now());
-    store.wake();
+    append_accepted_job("j1", "h");
     BOOST_REQUIRE(run_until(
         context, [&] { return core->jobs().table().find("j1") != nullptr; }));
     BOOST_TEST(contains(send_request(get("/tanagertrack/lots/j1"), "\r\n\r\n{"),
