Look a job with a key up in the log before its items are checked

What callers saw (own interface): a job that was sent again, with its key, to an entry that had not read its acceptance yet got 404 (unknown_model) if one of its models had been removed since.

Cause: only jobs in the entry's own table counted as repeated, which lags behind the log; others are checked against the configuration in effect.

Change: a submission with an Idempotency-Key is looked up in the log up to its end first. 503 as not run if the log can't be read.

Evidence: job_unread_by_the_entry_is_accepted_without_its_model got 404 before the change and passes with it (2 entries, one of which reads the log only when a call needs it).

--- a/src/api/job_upload.cpp
+++ b/src/api/job_upload.cpp
@@ -34,6 +34,22 @@
 void job_upload::start()
 {
     request_.exchange->limit_body(core_.settings().front.max_job_bytes);
+
+    // Without a key of the caller, the id is new.
+    if (request_.exchange->head().idempotency_key().empty())
+        return open();
+    core_.results().find(job_id_,
+                         [self = boost::intrusive_ptr<job_upload>(this)](
+                             std::error_code ec, const state::batch_job*)
+                         {
+                             if (ec)
+                                 return self->refuse(ec, {});
+                             self->open();
+                         });
+}
+
+void job_upload::open()
+{
     batch::job_terms terms;
     terms.job = job_id_;
     terms.team = request_.team;
@@ -146,7 +162,8 @@
 void job_upload::refuse(std::error_code ec, std::string message)
 {
     ended_ = true;
-    submission_->cancel();
+    if (submission_)
+        submission_->cancel();
     http::rejection rejection(common::to_result_code(ec));
     rejection.message = std::move(message);
     request_.observer->record_first_answer(
--- a/src/api/job_upload.hpp
+++ b/src/api/job_upload.hpp
@@ -33,10 +33,13 @@
     job_upload(const job_upload&) = delete;
     job_upload& operator=(const job_upload&) = delete;
 
-    /// Opens the submission and starts to read the body.
+    /// Looks up whether the job was accepted before, by any process, opens the
+    /// submission and starts to read the body.
     void start();
 
 private:
+    void open();
+
     /// Reads the next piece of the body, unless a read is pending or too many
     /// bytes wait for the store.
     void read_next();
