--- a/test/batch/test_item_routes.cpp
+++ b/test/batch/test_item_routes.cpp
@@ -32,16 +32,17 @@
     static proto::JobItem make_item(const std::string& id)
     {
         auto it = batch_process::make_item(id);
-        it.set_path("/x/" + id);
+        it.set_path("/x/" + id + "/0");
         return it;
     }
 
-    /// Returns true if all items are done once the service "s" has a target.
-    bool completes()
+    /// Returns true if all items are done once the service "s" has a target at
+    /// the process that runs them.
+    bool completes(batch_process& process)
     {
-        one.add_target("t1", server);
-        return one.until([&] { return one.finished("j"); }) &&
-               std::ranges::all_of(one.read("j"), [](const auto& it)
+        process.add_target("t1", server);
+        return process.until([&] { return process.finished("j"); }) &&
+               std::ranges::all_of(process.read("j"), [](const auto& it)
                                    { return it.state == proto::ITEM_DONE; });
     }
 
@@ -60,7 +61,7 @@
     one.configure(2, {batch_process::make_route(), make_call_route("/x/")});
     one.run_past_missing_route_timeout();
     BOOST_TEST(one.job("j")->results.empty());
-    BOOST_TEST(completes());
+    BOOST_TEST(completes(one));
 }
 
 // Guards against items of an accepted job that another service gets because a
@@ -70,7 +71,7 @@
     auto added = batch_process::make_route("added", "/x/");
     added.services = {{"other", 1}};
     one.configure(2, {batch_process::make_route(), added});
-    BOOST_TEST(completes());
+    BOOST_TEST(completes(one));
 }
 
 // Guards against items that are given up although a batch route still covers
@@ -82,7 +83,28 @@
                       make_call_route("/x/")});
     one.run_past_missing_route_timeout();
     BOOST_TEST(one.job("j")->results.empty());
-    BOOST_TEST(completes());
+    BOOST_TEST(completes(one));
+}
+
+// Guards against items that the process which takes their job over looks up by
+// their paths. It starts under a configuration whose routes cover the paths.
+BOOST_AUTO_TEST_CASE(items_keep_the_route_of_their_job_after_a_takeover)
+{
+    batch_process two(*this, "m2");
+    auto added = batch_process::make_route("added", "/x/a/");
+    added.services = {{"other", 1}};
+    two.configure(2,
+                  {batch_process::make_route(), make_call_route("/x/"), added});
+    BOOST_REQUIRE(two.until([&] { return two.job("j") != nullptr; }));
+    proto::JobRecord record;
+    record.mutable_taken()->set_job("j");
+    record.mutable_taken()->set_from("m1");
+    record.mutable_taken()->set_member("m2");
+    append(record);
+    BOOST_REQUIRE(two.until([&] { return two.runner.counts().pending == 2; }));
+    two.run_past_missing_route_timeout();
+    BOOST_TEST(two.job("j")->results.empty());
+    BOOST_TEST(completes(two));
 }
 
 // Guards against an item that fails for good too early, or too late, because
--- a/test/state/test_job_table.cpp
+++ b/test/state/test_job_table.cpp
@@ -77,6 +77,8 @@
         it.set_job(job);
         it.set_intake(intake);
         it.set_route("r");
+        it.set_host("h");
+        it.set_configuration_version(configuration_version);
         it.set_member("m1");
         it.set_item_count(items);
         it.set_max_waiting_tokens(limit);
@@ -107,6 +109,17 @@
         apply(record);
     }
 
+    /// Loads the state of the table into `to` by way of a checkpoint with many
+    /// parts.
+    void load_from_checkpoint(state::job_table& to) const
+    {
+        state::checkpoint_reader reader;
+        for (const auto& it : state::make_checkpoint(*table, 9, "c", 1))
+            reader.add_part(it.checkpoint());
+        BOOST_REQUIRE(reader.newest().has_value());
+        load_checkpoint(to, *reader.newest());
+    }
+
     void cancel_job(const std::string& job)
     {
         proto::JobRecord record;
@@ -156,6 +169,9 @@
 
     std::unique_ptr<state::job_table> table;
     std::uint64_t offset = 0;
+
+    /// Version in the commits that follow.
+    std::uint64_t configuration_version = 0;
     std::vector<commit_result> commits;
     std::vector<intent_result> intents;
     std::vector<std::string> completed_calls;
@@ -262,17 +278,29 @@
     cancel_job("j");
     BOOST_TEST(table->find("j")->counted_results() == 1);
 
-    state::checkpoint_reader reader;
-    for (const auto& it : state::make_checkpoint(*table, 9, "c", 1))
-        reader.add_part(it.checkpoint());
-    BOOST_REQUIRE(reader.newest().has_value());
     state::job_table loaded{state::job_table_hooks()};
-    load_checkpoint(loaded, *reader.newest());
+    load_from_checkpoint(loaded);
     BOOST_REQUIRE(loaded.find("j") != nullptr);
     BOOST_TEST(loaded.find("j")->results.size() == 2);
     BOOST_TEST(loaded.find("j")->counted_results() == 1);
 }
 
+// Guards against a job that loses its route, or the version of the
+// configuration that has it, at a process that starts from a checkpoint.
+BOOST_AUTO_TEST_CASE(checkpoint_keeps_the_route_of_a_job)
+{
+    configuration_version = 7;
+    add_job("j", {10, 20});
+    state::job_table loaded{state::job_table_hooks()};
+    load_from_checkpoint(loaded);
+    const auto* job = loaded.find("j");
+    BOOST_REQUIRE(job != nullptr);
+    BOOST_TEST(job->route == "r");
+    BOOST_TEST(job->host == "h");
+    BOOST_TEST(job->configuration_version == 7U);
+    BOOST_TEST(loaded.waiting_tokens("r") == 30U);
+}
+
 // Guards against a result whose position changes, or whose text is replaced,
 // after a caller has read it.
 BOOST_AUTO_TEST_CASE(later_ends_of_an_item_are_ignored)
