--- a/src/api/job_upload.hpp
+++ b/src/api/job_upload.hpp
@@ -38,6 +38,7 @@
     void start();
 
 private:
+    /// Opens the submission and starts to read the body.
     void open();
 
     /// Reads the next piece of the body, unless a read is pending or too many
