Show a repeated job that is refused because of an old view of its route

What callers would see: a job that another entry has accepted a moment ago is refused with 429, "not run", when it is sent again to an entry whose view of the log, at most 1 s old, has no room on the route.

Cause: submission::commit rejects a job over the limit without reading the log up to its end.

--- a/test/batch/test_intake.cpp
+++ b/test/batch/test_intake.cpp
@@ -121,6 +121,31 @@
     BOOST_TEST(one_refused != two_refused);
 }
 
+// Guards against a job that is refused as not run although another entry has
+// accepted it. The view of this entry, in which the route has no room for it,
+// is older than the acceptance.
+BOOST_AUTO_TEST_CASE(repeated_job_is_accepted_by_an_entry_that_saw_a_full_route)
+{
+    auto terms = one.make_terms("j");
+    terms.max_waiting_tokens = 15;
+    const auto first = one.submit(terms, {one.make_item("a")});
+    BOOST_REQUIRE(one.until([&] { return first->has_value(); }));
+    batch_process two(*this, "m2", held_follower_settings());
+    BOOST_REQUIRE(two.until([&] { return two.job("j") != nullptr; }));
+
+    bool cancelled = false;
+    one.results.cancel("j", [&](std::error_code ec) { cancelled = !ec; });
+    BOOST_REQUIRE(one.until([&] { return cancelled; }));
+    terms.job = "k";
+    const auto accepted = one.submit(terms, {one.make_item("b")});
+    BOOST_REQUIRE(one.until([&] { return accepted->has_value(); }));
+    BOOST_REQUIRE(!(**accepted).has_value());
+
+    const auto repeated = two.submit(terms, {two.make_item("b")});
+    BOOST_REQUIRE(two.until([&] { return repeated->has_value(); }));
+    BOOST_TEST(!(**repeated).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(job_is_refused_while_the_store_refuses)
 {
     store.append_outcome = []
