Add teams to the configuration, and hooks for decisions on callers

Cause: the users' platform sends teams with keys, rates and priorities in its configuration, and nothing reads them.

Result: nothing uses the hooks yet; behaviour is unchanged.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -9,7 +9,7 @@
     libtclap-dev libxxhash-dev curl
 )
 if [ "${1:-}" = "--with-checkers" ]; then
-    packages+=(clang-format-14 clang-tidy-14)
+    packages+=(clang-format-14 clang-tidy-14 clang-format clang-tidy)
 fi
 
 missing=()
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -1,5 +1,7 @@
 #include "fleet/configuration.hpp"
 
+#include "common/hash.hpp"
+
 #include <utility>
 
 namespace tanagertrack::fleet
@@ -19,11 +21,20 @@
 
 } // namespace
 
+std::string hash_team_key(std::string_view key)
+{
+    static const std::string seed = common::random_id();
+    return common::hash128({seed, key});
+}
+
 configuration::configuration(std::uint64_t version, std::vector<route> routes,
                              std::vector<service> services,
-                             request_limits limits)
+                             request_limits limits,
+                             std::optional<std::vector<team>> teams)
     : version_(version), routes_(std::move(routes)),
-      services_(std::move(services)), limits_(limits)
+      services_(std::move(services)), limits_(limits),
+      requires_key_(teams.has_value()),
+      teams_(std::move(teams).value_or(std::vector<team>()))
 {
     for (std::size_t i = 0; i < routes_.size(); ++i)
     {
@@ -37,6 +48,12 @@
     }
     for (std::size_t i = 0; i < services_.size(); ++i)
         services_by_name_[services_[i].name] = i;
+    for (std::size_t i = 0; i < teams_.size(); ++i)
+    {
+        teams_by_name_[teams_[i].name] = i;
+        for (const auto& it : teams_[i].key_hashes)
+            teams_by_key_[it] = i;
+    }
 }
 
 const route* configuration::find_route(std::string_view host,
@@ -87,4 +104,16 @@
     return it == services_by_name_.end() ? nullptr : &services_[it->second];
 }
 
+const team* configuration::find_team(std::string_view key_hash) const
+{
+    const auto it = teams_by_key_.find(key_hash);
+    return it == teams_by_key_.end() ? nullptr : &teams_[it->second];
+}
+
+const team* configuration::find_team_named(std::string_view name) const
+{
+    const auto it = teams_by_name_.find(name);
+    return it == teams_by_name_.end() ? nullptr : &teams_[it->second];
+}
+
 } // namespace tanagertrack::fleet
--- a/src/fleet/configuration.hpp
+++ b/src/fleet/configuration.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -95,6 +96,9 @@
     /// Priority of the route; 0 is the highest.
     std::uint32_t priority = 0;
 
+    /// True if requests need no key of a team.
+    bool is_public = false;
+
     // The following members apply to batch jobs only.
 
     /// Time from the submission of a job to its due time.
@@ -103,10 +107,35 @@
     /// Time from the submission of an item after which it may be dropped.
     std::chrono::milliseconds expires_after{0};
 
-    /// Maximum number of tokens of accepted items that wait; 0: no limit.
+    /// Maximum number of tokens of accepted items that wait; 0: no limit. Holds
+    /// for each team if the configuration has teams.
     std::uint64_t max_waiting_tokens = 0;
 };
 
+/// Callers that share keys, a rate limit and their batch jobs.
+struct team
+{
+    std::string name;
+
+    /// Hashes of the team's keys, see `hash_team_key`.
+    std::vector<std::string> key_hashes;
+
+    /// Priority of the team's requests, in place of that of their route; 0 is
+    /// the highest.
+    std::optional<std::uint32_t> priority;
+
+    /// Rate limit over all entries together; 0: no limit.
+    double requests_per_second = 0;
+
+    /// Requests that the team can send at once after an idle time.
+    double burst = 0;
+};
+
+/// Returns a 128-bit hash of a team's key. It differs between processes, so
+/// that neither logs nor memory dumps hold anything that another process
+/// accepts.
+std::string hash_team_key(std::string_view key);
+
 /// Size and time limits for the requests of callers.
 struct request_limits
 {
@@ -124,9 +153,10 @@
 {
 public:
     /// Builds the look-up tables. Of several routes with the same host and
-    /// prefix, the last one is used.
+    /// prefix, the last one is used. Without `teams`, requests need no key.
     configuration(std::uint64_t version, std::vector<route> routes,
-                  std::vector<service> services, request_limits limits);
+                  std::vector<service> services, request_limits limits,
+                  std::optional<std::vector<team>> teams = std::nullopt);
 
     std::uint64_t version() const
     {
@@ -148,6 +178,17 @@
         return limits_;
     }
 
+    /// Returns true if requests need a key of a team, except on public routes.
+    bool requires_key() const
+    {
+        return requires_key_;
+    }
+
+    const std::vector<team>& teams() const
+    {
+        return teams_;
+    }
+
     /// Returns the route of the host whose prefix is the longest one that
     /// `path` begins with, or nullptr. The number of look-ups is at most the
     /// number of slashes in `path`.
@@ -166,6 +207,12 @@
     /// Returns the service with this name, or nullptr.
     const service* find_service(std::string_view name) const;
 
+    /// Returns the team with a key of this hash, or nullptr.
+    const team* find_team(std::string_view key_hash) const;
+
+    /// Returns the team with this name, or nullptr.
+    const team* find_team_named(std::string_view name) const;
+
 private:
     struct text_hash
     {
@@ -189,6 +236,8 @@
     std::vector<route> routes_;
     std::vector<service> services_;
     request_limits limits_;
+    bool requires_key_;
+    std::vector<team> teams_;
 
     /// Positions of routes by host and prefix, see prefix_key() in the source:
     /// of all routes, and of those for batch jobs.
@@ -199,6 +248,8 @@
     index by_host_;
     index by_name_;
     index services_by_name_;
+    index teams_by_key_;
+    index teams_by_name_;
 };
 
 using configuration_ptr = std::shared_ptr<const configuration>;
--- a/src/online/call.hpp
+++ b/src/online/call.hpp
@@ -39,6 +39,14 @@
     const fleet::route* route = nullptr;
     fleet::repetition repeats = fleet::repetition::once;
 
+    /// Name of the caller's team, and the hash of the key by which it was
+    /// found; empty if the request needs no key and has none.
+    std::string team;
+    std::string key_hash;
+
+    /// Priority of the team, or of the route; 0 is the highest.
+    std::uint32_t priority = 0;
+
     /// Time at which the request was received.
     common::time_point received;
 
--- a/src/online/environment.hpp
+++ b/src/online/environment.hpp
@@ -1,6 +1,8 @@
 #ifndef TANAGERTRACK_ONLINE_ENVIRONMENT_HPP
 #define TANAGERTRACK_ONLINE_ENVIRONMENT_HPP
 
+#include "common/result_code.hpp"
+#include "online/call.hpp"
 #include "routing/placement.hpp"
 #include "routing/prompt.hpp"
 #include "targets/protocol.hpp"
@@ -9,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <optional>
 
 namespace boost::asio
 {
@@ -61,6 +64,36 @@
     std::chrono::milliseconds retry_after_spread{400};
 };
 
+/// Why a request is refused before it is sent, and when its caller may retry.
+struct admission_refusal
+{
+    common::result_code code;
+    std::chrono::milliseconds retry_after{0};
+};
+
+/// Decisions on the caller of a request. The defaults admit everything.
+struct caller_hooks
+{
+    /// Called once, before the first send. A value refuses the request.
+    std::function<std::optional<admission_refusal>(const call&)> admit =
+        [](const call&) -> std::optional<admission_refusal>
+    {
+        return std::nullopt;
+    };
+
+    /// Called when a request that was admitted ends and has certainly not run.
+    std::function<void(const call&)> give_back = [](const call&) {
+    };
+
+    /// Called before each send. A value ends the request without the send, for
+    /// example because the caller's key was revoked.
+    std::function<std::optional<common::result_code>(const call&)> revalidate =
+        [](const call&) -> std::optional<common::result_code>
+    {
+        return std::nullopt;
+    };
+};
+
 /// Objects and settings that all online requests of a process share. Not
 /// thread-safe: used on the thread of `context` only.
 struct environment
@@ -78,6 +111,8 @@
 
     /// Called before each send of a request.
     routing::prompt_refusal time_refused = routing::refuse_none;
+
+    caller_hooks callers = {};
 };
 
 } // namespace tanagertrack::online
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -48,6 +48,10 @@
 
 void request::start()
 {
+    if (const auto refusal = environment_.callers.admit(call_))
+        return refuse({refusal->code, common::info(refusal->code).name},
+                      refusal->retry_after);
+    admitted_ = true;
     const auto& shares = call_.route->services;
     std::size_t total_weight = 0;
     for (const auto& it : shares)
@@ -87,6 +91,8 @@
         return fail_request(last_failure);
     if (const auto retry_after = environment_.time_refused(call_.prompt))
         return refuse_prompt(*retry_after);
+    if (const auto code = environment_.callers.revalidate(call_))
+        return fail_request({*code, common::info(*code).name});
 
     std::vector<const routing::target_load*> loads;
     loads.reserve(usable.size());
@@ -451,9 +457,7 @@
     const auto now = common::clock::now();
     if (now >= timeout_at_)
     {
-        const bool may_have_run =
-            runs_ > 0 || (attempt_ && attempt_->may_have_run());
-        runs_ += may_have_run ? 1 : 0;
+        runs_ += may_have_run() ? 1 : 0;
         if (answer_started_)
             return fail_request({result_code::deadline_exceeded, "timeout"});
         return refuse({result_code::deadline_exceeded, "timeout"},
@@ -467,12 +471,19 @@
                   make_error_code(result_code::deadline_exceeded), "silent"});
 }
 
+bool request::may_have_run() const
+{
+    return runs_ > 0 || (attempt_ && attempt_->may_have_run());
+}
+
 void request::finish_request(std::string_view result)
 {
     // The references that are released here may be the last ones.
     const request_ptr self(this);
     ended_ = true;
     timer_.cancel();
+    if (admitted_ && !may_have_run())
+        environment_.callers.give_back(call_);
     if (auto current = std::exchange(attempt_, nullptr))
         current->cancel();
     answer_ = {};
--- a/src/online/request.hpp
+++ b/src/online/request.hpp
@@ -132,6 +132,9 @@
     /// `result`.
     void finish_request(std::string_view result);
 
+    /// Returns true if a target may have run the request.
+    bool may_have_run() const;
+
     /// Returns true if the request may run on one more target.
     bool may_run_again() const;
     bool is_stream() const;
@@ -154,6 +157,9 @@
     common::time_point timeout_at_;
     bool ended_ = false;
 
+    /// True once the request has passed `caller_hooks::admit`.
+    bool admitted_ = false;
+
     // Attempts.
     std::string service_;
     targets::attempt_ptr attempt_;
