Identify teams by their keys on the users' platform, also without the store

Cause: the platform's configuration names teams with keys. Keys were passed on to targets, unknown ones were served, revoked ones went on working, and jobs were readable by anyone.

Jobs belong to a team, items carry its name, and the limit on waiting tokens holds for each team. Before a job is refused for the limit, the log is read up to its end: a repeat of a job that another entry has accepted is answered 202.

--- a/src/batch/intake.cpp
+++ b/src/batch/intake.cpp
@@ -120,18 +120,49 @@
         return;
     committed_ = true;
     if (already_accepted_)
-    {
-        const auto* job = owner_.jobs_.table().find(terms_.job);
-        const bool same_content =
-            job != nullptr && job->content_hash == content_hash;
-        if (same_content)
-            return finish(std::nullopt);
-        return finish(reject(result_code::idempotency_conflict,
-                             execution::not_run, milliseconds(0)));
-    }
+        return finish_repeated(content_hash);
     if (owner_.is_over_limit(*this))
-        return finish(reject(result_code::jobs_full, execution::not_run,
-                             over_limit_retry));
+        return confirm_limit(std::move(content_hash));
+    append_commit(std::move(content_hash));
+}
+
+void submission::finish_repeated(const std::string& content_hash)
+{
+    const auto* job = owner_.jobs_.table().find(terms_.job);
+    const bool same_content =
+        job != nullptr &&
+        (!terms_.compares_content || job->content_hash == content_hash);
+    if (same_content && job->is_visible_to(terms_.team))
+        return finish(std::nullopt);
+    finish(reject(result_code::idempotency_conflict, execution::not_run,
+                  milliseconds(0)));
+}
+
+void submission::confirm_limit(std::string content_hash)
+{
+    owner_.jobs_.confirm(
+        common::clock::now(),
+        [self = submission_ptr(this),
+         content_hash = std::move(content_hash)](std::error_code ec) mutable
+        {
+            if (self->finished())
+                return;
+            auto& owner = self->owner_;
+            if (owner.jobs_.table().find(self->terms_.job) != nullptr)
+                return self->finish_repeated(content_hash);
+            if (ec)
+                return self->finish(reject(result_code::log_unavailable,
+                                           execution::not_run, store_retry));
+            if (owner.is_over_limit(*self))
+                return self->finish(reject(result_code::jobs_full,
+                                           execution::not_run,
+                                           over_limit_retry));
+            self->append_commit(std::move(content_hash));
+        });
+}
+
+void submission::append_commit(std::string content_hash)
+{
     close_part();
     records_.push_back(make_commit(std::move(content_hash)));
     flush();
@@ -184,8 +215,7 @@
     // The commit is in the last append. If it was not sent or can be withdrawn,
     // the job is certainly not accepted.
     const bool not_run =
-        !committed_ ||
-        (commit_append_ && owner_.jobs_.withdraw(*commit_append_));
+        !commit_append_ || owner_.jobs_.withdraw(*commit_append_);
     common::log_info("job_refused", {{"job", terms_.job},
                                      {"why", "deadline"},
                                      {"not_run", not_run ? 1 : 0}});
@@ -237,7 +267,7 @@
         common::log_info("job_repeated", {{"job", job}});
         it->already_accepted_ = true;
         if (!it->terms_.compares_content)
-            it->finish(std::nullopt);
+            it->finish_repeated({});
         return it;
     }
     if (!jobs_.is_current() || !jobs_.reachable())
@@ -265,7 +295,8 @@
     // With a fresh view of the log, the result of the commit is known before it
     // is appended.
     const auto limit = candidate.terms_.max_waiting_tokens;
-    const auto waiting = jobs_.table().waiting_tokens(candidate.terms_.route);
+    const auto waiting = jobs_.table().waiting_tokens(candidate.terms_.route,
+                                                      candidate.terms_.team);
     const auto as_of = jobs_.current_as_of();
     const bool is_fresh =
         as_of && common::clock::now() - *as_of < max_limit_view_age;
--- a/src/batch/intake.hpp
+++ b/src/batch/intake.hpp
@@ -116,6 +116,17 @@
 
     void close_part();
     void flush();
+
+    /// Ends the submission of a job that was accepted before.
+    void finish_repeated(const std::string& content_hash);
+
+    /// Reads the log up to its end before the job is refused because of the
+    /// waiting tokens: another process may have accepted it, or items may have
+    /// ended.
+    void confirm_limit(std::string content_hash);
+
+    /// Appends the last items and the commit to the log.
+    void append_commit(std::string content_hash);
     proto::JobRecord make_commit(std::string content_hash) const;
     void handle_append(std::size_t bytes, std::error_code ec);
     void handle_timeout();
--- a/src/common/result_code.hpp
+++ b/src/common/result_code.hpp
@@ -82,6 +82,8 @@
     ROW(log_full, 1310, 503, not_run, "the log has no room left")              \
     ROW(record_too_large, 1311, 413, not_run,                                  \
         "a record is larger than the platform's log takes")                    \
+    ROW(configuration_stale, 1312, 503, not_run,                               \
+        "the process cannot check whether the key is still valid")             \
     ROW(no_target, 1401, 503, not_run,                                         \
         "no live target serves the model or service")                          \
     ROW(target_refused, 1402, 503, not_run, "the target refused the work")     \
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -158,6 +158,14 @@
                       "burst of a team that configuration gives none");
 }
 
+void add_teams(setting_table& table, team_settings& values)
+{
+    table.add_ms("teams.max_view_age_ms", values.max_view_age, 0, 600000,
+                 "age of the configuration above which requests that need a "
+                 "team's key are refused, because it may have been revoked; 0: "
+                 "no bound");
+}
+
 void add_error_unless(std::vector<setting_error>& errors, std::string_view file,
                       bool valid, std::string_view key,
                       std::string_view message)
@@ -209,6 +217,7 @@
     add_peer(table, values.peer);
     add_batch(table, values.batch);
     add_routing(table, values.routing);
+    add_teams(table, values.teams);
     table.add_seconds("stop.grace_s", values.stop.grace, 0.1, 3600,
                       "time in which a planned stop ends");
     table.add_seconds("stop.listen_s", values.stop.listen, 0, 3600,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -103,6 +103,14 @@
     std::uint32_t default_burst = 100;
 };
 
+/// Keys of teams.
+struct team_settings
+{
+    /// Maximum age of the view of the configuration with which a request that
+    /// needs a key is sent to a target; 0: no bound.
+    std::chrono::milliseconds max_view_age{0};
+};
+
 /// Planned stop.
 struct stop_settings
 {
@@ -138,6 +146,7 @@
     peer_settings peer;
     batch_settings batch;
     routing_settings routing;
+    team_settings teams;
     stop_settings stop;
 };
 
--- a/src/state/job_checkpoint.cpp
+++ b/src/state/job_checkpoint.cpp
@@ -253,7 +253,8 @@
             it.items.push_back(load_item(item));
             const bool is_waiting =
                 !it.cancelled && item.state() == proto::ITEM_OPEN;
-            to.waiting_tokens_[it.route] += is_waiting ? item.tokens() : 0;
+            to.waiting_tokens_[{it.route, it.team}] +=
+                is_waiting ? item.tokens() : 0;
         }
         it.results.insert(it.results.end(), from.results().begin(),
                           from.results().end());
--- a/src/state/job_table.cpp
+++ b/src/state/job_table.cpp
@@ -130,7 +130,9 @@
     {
         const bool same = commit.content_hash().empty() ||
                           commit.content_hash() == known->content_hash;
-        return same ? commit_result::repeated : commit_result::conflict;
+        return same && known->is_visible_to(commit.team())
+                   ? commit_result::repeated
+                   : commit_result::conflict;
     }
     const auto it =
         submissions_.find(submission_key(commit.job(), commit.intake()));
@@ -140,7 +142,7 @@
     if (commit.max_waiting_tokens() == 0)
         return commit_result::accepted;
 
-    std::uint64_t tokens = waiting_tokens(commit.route());
+    std::uint64_t tokens = waiting_tokens(commit.route(), commit.team());
     for (const auto& item : it->second.items)
         tokens += item.tokens;
     return tokens > commit.max_waiting_tokens() ? commit_result::over_limit
@@ -165,7 +167,7 @@
     it.items = std::move(from.items);
     it.parts = std::move(from.parts);
     accepted_ids_[offset] = it.id;
-    auto& waiting = waiting_tokens_[it.route];
+    auto& waiting = waiting_tokens_[{it.route, it.team}];
     for (const auto& item : it.items)
         waiting += item.tokens;
 }
@@ -366,7 +368,7 @@
 
 void job_table::release_tokens(const batch_job& job, std::uint64_t tokens)
 {
-    auto& waiting = waiting_tokens_[job.route];
+    auto& waiting = waiting_tokens_[{job.route, job.team}];
     waiting -= std::min(waiting, tokens);
 }
 
@@ -389,9 +391,11 @@
         visit(jobs_.find(id)->second);
 }
 
-std::uint64_t job_table::waiting_tokens(std::string_view route) const
+std::uint64_t job_table::waiting_tokens(std::string_view route,
+                                        std::string_view team) const
 {
-    const auto it = waiting_tokens_.find(route);
+    const auto it =
+        waiting_tokens_.find({std::string(route), std::string(team)});
     return it == waiting_tokens_.end() ? 0 : it->second;
 }
 
--- a/src/state/job_table.hpp
+++ b/src/state/job_table.hpp
@@ -121,6 +121,13 @@
     /// process that may have run them.
     std::map<std::uint32_t, std::string> intents;
 
+    /// Returns true if a caller of this team may see the job. A job or caller
+    /// without a team belongs to a configuration without teams.
+    bool is_visible_to(std::string_view caller_team) const
+    {
+        return team.empty() || caller_team.empty() || team == caller_team;
+    }
+
     /// True if the caller has cancelled the open items.
     bool cancelled = false;
 
@@ -269,8 +276,9 @@
         return jobs_.size();
     }
 
-    /// Returns the number of waiting tokens of a route.
-    std::uint64_t waiting_tokens(std::string_view route) const;
+    /// Returns the number of waiting tokens of a team's jobs on a route.
+    std::uint64_t waiting_tokens(std::string_view route,
+                                 std::string_view team = {}) const;
 
     /// Returns the process, or nullptr if it is not known.
     const batch_member* find_member(std::string_view id) const;
@@ -326,7 +334,7 @@
     void apply_member_start(const proto::MemberStarted& started);
     void apply_member_stop(const proto::MemberStopped& stopped);
 
-    /// Subtracts from the waiting tokens of the job's route.
+    /// Subtracts from the waiting tokens of the job's route and team.
     void release_tokens(const batch_job& job, std::uint64_t tokens);
     batch_job* find_mutable(std::string_view id);
 
@@ -340,8 +348,9 @@
     /// Keys of the submissions, oldest first.
     std::deque<std::string> submission_order_;
 
-    /// Waiting tokens by route.
-    std::map<std::string, std::uint64_t, std::less<>> waiting_tokens_;
+    /// Waiting tokens by route and team.
+    std::map<std::pair<std::string, std::string>, std::uint64_t>
+        waiting_tokens_;
     std::map<std::string, batch_member, std::less<>> members_;
     std::map<std::string, at_most_once_call, std::less<>> calls_;
 };
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -45,6 +45,12 @@
         if (const auto self = weak.lock())
             self->set_reachable(reachable);
     };
+    if (hooks_.on_current)
+        hooks.on_current = [weak](common::boot_clock::time_point read_start)
+        {
+            if (const auto self = weak.lock())
+                self->hooks_.on_current(read_start);
+        };
     changes_ = std::make_shared<partition_follower>(
         context_, service_, partition_, settings_, std::move(hooks));
     load_keys();
--- a/src/store/keyed_follower.hpp
+++ b/src/store/keyed_follower.hpp
@@ -29,6 +29,10 @@
     /// Called with false when reads start to fail, and with true when they
     /// succeed again. Reads count as successful until the first one fails.
     std::function<void(bool reachable)> on_reachable;
+
+    /// Called whenever all changes that were made before `read_start` were
+    /// passed on. Optional.
+    std::function<void(common::boot_clock::time_point read_start)> on_current;
 };
 
 /// Follows a partition of a keyed topic: loads the newest record of each key,
--- a/src/store/partition_follower.cpp
+++ b/src/store/partition_follower.cpp
@@ -56,8 +56,8 @@
     if (!running_ || reading_)
         return;
     reading_ = true;
-    const auto now = common::clock::now();
-    last_read_start_ = now;
+    const read_start now;
+    last_read_start_ = now.time;
     auto call = make_read();
     // Until the end was reached once, an empty result matters too: it shows
     // that the follower has caught up. So the store must not delay it.
@@ -97,7 +97,7 @@
 }
 
 void partition_follower::handle_read(std::uint64_t run,
-                                     common::time_point started,
+                                     const read_start& started,
                                      std::uint64_t offset,
                                      const read_result& result)
 {
@@ -119,7 +119,7 @@
     schedule_read(settings_.min_interval - elapsed);
 }
 
-bool partition_follower::apply_read(common::time_point started,
+bool partition_follower::apply_read(const read_start& started,
                                     std::uint64_t offset,
                                     const read_result& result)
 {
@@ -133,7 +133,7 @@
     set_reachable(!result.ec);
     if (result.ec)
     {
-        adapt_read_size(started, result);
+        adapt_read_size(started.time, result);
         return true;
     }
 
@@ -150,11 +150,14 @@
         hooks_.on_records(first, new_records);
     if (run != run_)
         return false;
-    adapt_read_size(started, result);
+    adapt_read_size(started.time, result);
     if (next_offset_ < result.end)
         return true;
     const bool caught_up = !current_as_of_.has_value();
-    current_as_of_ = std::max(started, current_as_of_.value_or(started));
+    current_as_of_ =
+        std::max(started.time, current_as_of_.value_or(started.time));
+    if (hooks_.on_current)
+        hooks_.on_current(started.boot_time);
     if (caught_up && hooks_.on_caught_up)
         hooks_.on_caught_up();
     if (run != run_)
@@ -191,15 +194,15 @@
     if (confirming_ || confirmations_.empty())
         return;
     confirming_ = true;
-    service_.read(
-        make_read(),
-        [self = shared_from_this(), run = run_, now = common::clock::now(),
-         offset = next_offset_](const read_result& result)
-        { self->handle_confirmation_read(run, now, offset, result); });
+    service_.read(make_read(),
+                  [self = shared_from_this(), run = run_, now = read_start(),
+                   offset = next_offset_](const read_result& result) {
+                      self->handle_confirmation_read(run, now, offset, result);
+                  });
 }
 
 void partition_follower::handle_confirmation_read(std::uint64_t run,
-                                                  common::time_point started,
+                                                  const read_start& started,
                                                   std::uint64_t offset,
                                                   const read_result& result)
 {
@@ -211,8 +214,8 @@
     if (!apply_read(started, offset, result))
         return;
     if (result.ec)
-        end_confirmations([started](const confirmation& it)
-                          { return it.time <= started; },
+        end_confirmations([&started](const confirmation& it)
+                          { return it.time <= started.time; },
                           result.ec);
     if (run == run_)
         start_confirmation();
--- a/src/store/partition_follower.hpp
+++ b/src/store/partition_follower.hpp
@@ -2,6 +2,7 @@
 #define TANAGERTRACK_STORE_PARTITION_FOLLOWER_HPP
 
 #include "common/backoff.hpp"
+#include "common/boot_clock.hpp"
 #include "common/clock.hpp"
 #include "store/store_service.hpp"
 
@@ -64,6 +65,11 @@
     /// succeed again. Reads count as successful until the first one fails.
     std::function<void(bool reachable)> on_reachable;
 
+    /// Called whenever a read has reached the end of the partition, with the
+    /// time at which the read was started: all records that were appended
+    /// before it were passed on. Optional.
+    std::function<void(common::boot_clock::time_point)> on_current;
+
     /// Called once per start(), when the end of the partition is reached for
     /// the first time. Optional.
     std::function<void()> on_caught_up;
@@ -124,14 +130,21 @@
     void read_soon();
 
 private:
+    /// Start time of a read by both clocks.
+    struct read_start
+    {
+        common::time_point time = common::clock::now();
+        common::boot_clock::time_point boot_time = common::boot_clock::now();
+    };
+
     void read_next();
     void schedule_read(std::chrono::milliseconds delay);
-    void handle_read(std::uint64_t run, common::time_point started,
+    void handle_read(std::uint64_t run, const read_start& started,
                      std::uint64_t offset, const read_result& result);
 
     /// Applies the result of a read at `offset` that began at `started`.
     /// Returns false if the follower was stopped or restarted meanwhile.
-    bool apply_read(common::time_point started, std::uint64_t offset,
+    bool apply_read(const read_start& started, std::uint64_t offset,
                     const read_result& result);
     void set_reachable(bool reachable);
 
@@ -141,7 +154,7 @@
     /// Adapts the size of reads to the result of one that began at `started`.
     void adapt_read_size(common::time_point started, const read_result& result);
     void start_confirmation();
-    void handle_confirmation_read(std::uint64_t run, common::time_point started,
+    void handle_confirmation_read(std::uint64_t run, const read_start& started,
                                   std::uint64_t offset,
                                   const read_result& result);
 
--- a/test/platform/front_fixture.hpp
+++ b/test/platform/front_fixture.hpp
@@ -33,8 +33,10 @@
     /// `jobs_interval` is the minimum time between two reads of the log of
     /// jobs, besides those that a call needs.
     explicit front_fixture(
-        std::chrono::milliseconds jobs_interval = std::chrono::milliseconds(0))
+        std::chrono::milliseconds jobs_interval = std::chrono::milliseconds(0),
+        std::chrono::milliseconds max_view_age = std::chrono::milliseconds(0))
     {
+        settings.teams.max_view_age = max_view_age;
         settings.callers = "platform";
         settings.name = "e1";
         settings.address = "127.0.0.1";
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -32,6 +32,18 @@
 
 } // namespace
 
+namespace
+{
+
+fleet::configuration_ptr no_teams()
+{
+    return std::make_shared<const fleet::configuration>(
+        1, std::vector<fleet::route>(), std::vector<fleet::service>(),
+        fleet::request_limits());
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(caller_calls)
 
 BOOST_AUTO_TEST_CASE(number_is_parsed_only_if_the_whole_text_is_a_number)
@@ -70,7 +82,7 @@
     head.headers.add("X-Hop", "only here");
     head.headers.add("X-Other", "kept");
     const auto now = common::clock::now();
-    auto it = platform::decode_call(head, "body", nullptr, route, now);
+    auto it = platform::decode_call(head, "body", no_teams(), route, {}, now);
     BOOST_TEST(it.id == "id1");
     BOOST_TEST(it.target == "/a/b?c=d");
     BOOST_TEST(it.host == "h");
@@ -92,7 +104,7 @@
     http::request_head head;
     head.headers.add("X-Tanagertrack-Deadline-Ms", "soon");
     const auto now = common::clock::now();
-    const auto it = platform::decode_call(head, {}, nullptr, route, now);
+    const auto it = platform::decode_call(head, {}, no_teams(), route, {}, now);
     BOOST_TEST((it.deadline == now + 900ms));
     BOOST_TEST(!it.after_event.has_value());
 }
