Share the losses of requests at targets between entries

Each entry avoided a target only after two losses of its own, and sent requests that can't be repeated to it again as soon as the pause had ended.

Change: with routing.failure_detection = shared, load messages tell at which targets an entry has lost requests. Two losses within 300 ms, of any entries, start a pause. Requests that can't be repeated go elsewhere for a while after a pause, longer each time, unless the wait there is 400 ms longer; others and batch items show whether the target is back.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -149,6 +149,11 @@
     table.add_choice("routing.policy", values.policy,
                      {"expected_start", "two_choices", "round_robin", "random"},
                      "choice of target; the last three are baselines");
+    table.add_choice("routing.failure_detection", values.failure_detection,
+                     {"own", "shared"},
+                     "shared: entries tell each other at which targets they "
+                     "lose requests, and send those that can't be repeated "
+                     "elsewhere for a while");
     table.add_integer("routing.max_attempts", values.max_attempts, 1, 10,
                       "targets on which one online request may run");
     table.add_real("routing.default_requests_per_second",
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -29,6 +29,10 @@
 /// which already outnumber the slots.
 constexpr std::size_t max_waiting_groups = 8;
 
+/// Wait at other targets from which on a request that can't be repeated is sent
+/// to a distrusted one: a late answer is better than a refusal.
+constexpr auto distrust_cost = milliseconds(400);
+
 routing::random_below make_random()
 {
     const auto engine =
@@ -39,10 +43,24 @@
     };
 }
 
+bool shares_failures(const config::settings& values)
+{
+    return values.routing.failure_detection == "shared";
+}
+
 routing::placement_settings placement_settings(const config::settings& values)
 {
     routing::placement_settings settings;
     settings.policy = routing::parse_placement_policy(values.routing.policy);
+    if (shares_failures(values))
+        settings.distrust = distrust_cost;
+    return settings;
+}
+
+peers::exchange_settings exchange_settings(const config::settings& values)
+{
+    peers::exchange_settings settings;
+    settings.shares_losses = shares_failures(values);
     return settings;
 }
 
@@ -153,7 +171,7 @@
       record_mover_(context, jobs_, texts_, settings.store.retention,
                     [this](const std::string& member)
                     { return membership_.is_responsible_for(member); }),
-      load_exchange_(context, targets_, member_id_, peers::exchange_settings(),
+      load_exchange_(context, targets_, member_id_, exchange_settings(settings),
                      make_exchange_hooks())
 {
     jobs_.add_listener(make_member_listener());
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -98,7 +98,10 @@
     loads.reserve(usable.size());
     for (const auto& it : usable)
         loads.push_back(&it->load);
-    const auto choice = environment_.placement.choose_online(loads, now);
+    const bool may_repeat = call_.repeats != fleet::repetition::once &&
+                            runs_ + 1 < call_.route->max_attempts;
+    const auto choice =
+        environment_.placement.choose_online(loads, now, may_repeat);
     const auto max_wait = std::chrono::duration<double, std::milli>(
         environment_.settings.max_wait *
         static_cast<double>(call_.route->objective.count()));
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -39,6 +39,11 @@
     it.set_count(items.count);
 }
 
+/// Time for which messages repeat the number of losses, so that a lost message
+/// does not matter. A loss that arrives later would say nothing of the target's
+/// present state.
+constexpr auto loss_repeats = milliseconds(200);
+
 } // namespace
 
 load_exchange::load_exchange(asio::io_context& context,
@@ -150,6 +155,7 @@
         add_waiting(message, it, now);
     message.set_store_age_ms(static_cast<std::uint32_t>(
         duration_cast<milliseconds>(now - state.store_contact).count()));
+    add_losses(message, now);
     targets_.for_each(
         [&](targets::target& it)
         {
@@ -205,6 +211,7 @@
     if (!loads_.apply_message(message, now))
         return;
     apply_reports(message);
+    apply_losses(message);
     update_target_loads();
     hooks_.on_change();
     if (message.crashes_size() + message.sound_parts_size() != 0)
@@ -237,6 +244,36 @@
         });
 }
 
+void load_exchange::add_losses(LoadMessage& message, common::time_point now)
+{
+    if (!settings_.shares_losses)
+        return;
+    targets_.for_each(
+        [&](targets::target& it)
+        {
+            if (it.load.losses == 0 || now - it.load.last_loss > loss_repeats)
+                return;
+            auto& out = *message.add_losses();
+            out.set_target(it.key());
+            out.set_count(it.load.losses);
+        });
+}
+
+void load_exchange::apply_losses(const LoadMessage& message)
+{
+    if (!settings_.shares_losses || message.losses_size() == 0)
+        return;
+    const auto lost = loads_.find_new_losses(message);
+    if (lost.empty())
+        return;
+    targets_.for_each(
+        [&lost](targets::target& it)
+        {
+            if (std::ranges::find(lost, it.key()) != lost.end())
+                it.record_peer_loss();
+        });
+}
+
 void load_exchange::update_target_loads()
 {
     targets_.for_each(
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -37,6 +37,9 @@
     /// not grow with the number of peers. A longer time would make placement
     /// worse, because it would use older loads of the peers.
     std::chrono::microseconds interval_per_peer{500};
+
+    /// True if entries tell each other at which targets they lose requests.
+    bool shares_losses = false;
 };
 
 /// State of this process that is sent in a message, besides its targets' loads.
@@ -117,6 +120,12 @@
     /// targets' loads.
     void apply_reports(const LoadMessage& message);
 
+    /// Adds the targets at which this entry has lost requests lately.
+    void add_losses(LoadMessage& message, common::time_point now);
+
+    /// Passes new losses of the sender on to the health of the targets.
+    void apply_losses(const LoadMessage& message);
+
     /// Writes the peers' requests into the targets' loads.
     void update_target_loads();
 
--- a/src/peers/peer_loads.cpp
+++ b/src/peers/peer_loads.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace tanagertrack::peers
 {
@@ -57,6 +58,22 @@
     state.uses.clear();
 }
 
+std::vector<std::uint32_t>
+peer_loads::find_new_losses(const LoadMessage& message)
+{
+    std::vector<std::uint32_t> targets;
+    const auto sender = members_.find(message.member());
+    if (sender == members_.end())
+        return targets;
+    for (const auto& it : message.losses())
+    {
+        auto& known = sender->second.losses[it.target()];
+        if (std::exchange(known, it.count()) != it.count())
+            targets.push_back(it.target());
+    }
+    return targets;
+}
+
 bool peer_loads::expire(common::time_point now)
 {
     const auto old_size = members_.size();
--- a/src/peers/peer_loads.hpp
+++ b/src/peers/peer_loads.hpp
@@ -42,6 +42,10 @@
     bool apply_message(const peers::LoadMessage& message,
                        common::time_point now);
 
+    /// Returns the targets at which the sender of a message has lost requests
+    /// since its last message. Call after `apply_message`.
+    std::vector<std::uint32_t> find_new_losses(const LoadMessage& message);
+
     /// Removes entries without a message for longer than `lifetime`. Returns
     /// true if there were any.
     bool expire(common::time_point now);
@@ -104,6 +108,9 @@
         std::map<std::uint32_t, target_use> uses;
         std::vector<waiting_group> waiting;
         common::time_point store_contact;
+
+        /// Losses since the start of the entry's process, by target key.
+        std::map<std::uint32_t, std::uint32_t> losses;
     };
 
     /// Removes the requests of an entry, also from the totals.
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -141,7 +141,7 @@
 
 std::optional<placement_choice>
 placement::choose_online(std::span<const target_load* const> candidates,
-                         common::time_point now)
+                         common::time_point now, bool may_repeat)
 {
     if (candidates.empty())
         return std::nullopt;
@@ -161,7 +161,9 @@
         const double tie_break = to_ms(settings_.tie_width) *
                                  static_cast<double>(random_(tie_steps)) /
                                  tie_steps;
-        const double cost = cost_ms(*candidates[i], wait, now) + tie_break;
+        double cost = cost_ms(*candidates[i], wait, now) + tie_break;
+        if (!may_repeat && candidates[i]->health.is_distrusted(now))
+            cost += to_ms(settings_.distrust);
         if (i == 0 || cost < best)
         {
             best = cost;
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -62,6 +62,10 @@
     /// costs differ by less are chosen at random, so that entries with the same
     /// view don't all choose the same target.
     std::chrono::milliseconds tie_width{6};
+
+    /// Cost of a target that has failed a short time ago, for a request that
+    /// can't be repeated; see target_health::is_distrusted.
+    std::chrono::milliseconds distrust{0};
 };
 
 /// Chosen target and the expected wait there.
@@ -84,11 +88,12 @@
     placement(placement_settings settings, random_below random);
 
     /// Chooses the target for an online request. Slots occupied by batch items
-    /// count as available after the time of a preemption. Returns std::nullopt
-    /// only if there are no candidates.
+    /// count as available after the time of a preemption. `may_repeat` is false
+    /// if the request fails together with its target. Returns std::nullopt only
+    /// if there are no candidates.
     std::optional<placement_choice>
     choose_online(std::span<const target_load* const> candidates,
-                  common::time_point now);
+                  common::time_point now, bool may_repeat = true);
 
     /// Chooses a target with a free slot for a batch item. Returns std::nullopt
     /// if there is none.
--- a/src/routing/target_health.hpp
+++ b/src/routing/target_health.hpp
@@ -41,6 +41,18 @@
     /// Consecutive unanswered requests that don't start a pause. A single
     /// response may be lost without a fault of the target.
     std::uint32_t tolerated_unanswered = 1;
+
+    /// Two losses, of which another entry has reported at least one, start a
+    /// pause if they are closer together than this.
+    std::chrono::milliseconds shared_window{300};
+
+    /// Time after a pause for which requests that can't be repeated should go
+    /// elsewhere. Doubles with each pause that begins within `distrust_memory`
+    /// of the last one, up to `max_distrust`: a target that goes down and up
+    /// again would lose some of them each time.
+    std::chrono::milliseconds first_distrust{1000};
+    std::chrono::milliseconds max_distrust{4000};
+    std::chrono::milliseconds distrust_memory{10000};
 };
 
 /// Decides from the results of attempts whether a target is avoided. A failure
@@ -54,6 +66,11 @@
     bool record_failure(target_failure reason, common::time_point now,
                         const health_settings& settings = {});
 
+    /// Records that another entry has lost a request at the target. Returns
+    /// true if a pause begins.
+    bool record_peer_loss(common::time_point now,
+                          const health_settings& settings = {});
+
     /// Records a complete response of the target: ends a pause and resets the
     /// count of failures and pauses.
     void record_success();
@@ -64,6 +81,13 @@
         return now < avoided_until_;
     }
 
+    /// Returns true if requests that can't be repeated should go to another
+    /// target, because this one has failed a short time ago.
+    bool is_distrusted(common::time_point now) const
+    {
+        return now < distrusted_until_;
+    }
+
     /// End of the last pause; the clock's epoch if there was none since the
     /// last success.
     common::time_point avoided_until() const
@@ -78,9 +102,22 @@
     }
 
 private:
+    void begin_pause(target_failure reason, common::time_point now,
+                     const health_settings& settings);
+
     std::uint32_t unanswered_ = 0;
     std::uint32_t pauses_ = 0;
     common::time_point avoided_until_;
+
+    /// Last unanswered request of this entry, and last loss that another entry
+    /// has reported; the clock's epoch if there is none.
+    common::time_point last_own_loss_;
+    common::time_point last_peer_loss_;
+
+    // Distrust. Unlike a pause, it does not end with a success.
+    std::chrono::milliseconds distrust_{0};
+    common::time_point last_pause_;
+    common::time_point distrusted_until_;
 };
 
 } // namespace tanagertrack::routing
--- a/src/routing/target_load.hpp
+++ b/src/routing/target_load.hpp
@@ -54,9 +54,15 @@
 
     load_report reported;
 
-    /// Health of the target according to this entry's attempts.
+    /// Health of the target according to the attempts of this entry, and to
+    /// losses that other entries have reported.
     target_health health;
 
+    /// Requests of this entry that the target did not answer, since the process
+    /// began, and the time of the last one.
+    std::uint32_t losses = 0;
+    common::time_point last_loss;
+
     /// Online requests under way from all entries.
     std::uint32_t online() const
     {
--- a/src/targets/target.cpp
+++ b/src/targets/target.cpp
@@ -122,12 +122,29 @@
 void target::record_failure(routing::target_failure reason)
 {
     const auto now = common::clock::now();
-    if (!load.health.record_failure(reason, now))
-        return;
+    if (reason != routing::target_failure::replaced)
+    {
+        ++load.losses;
+        load.last_loss = now;
+        hooks_.on_load_change();
+    }
+    if (load.health.record_failure(reason, now))
+        log_pause(to_string(reason), now);
+}
+
+void target::record_peer_loss()
+{
+    const auto now = common::clock::now();
+    if (load.health.record_peer_loss(now))
+        log_pause("lost_by_others", now);
+}
+
+void target::log_pause(std::string_view reason, common::time_point now) const
+{
     const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
         load.health.avoided_until() - now);
     common::log_info("target_avoided", {{"target", id_},
-                                        {"why", to_string(reason)},
+                                        {"why", reason},
                                         {"pauses", load.health.pauses()},
                                         {"pause_ms", pause.count()}});
 }
--- a/src/targets/target.hpp
+++ b/src/targets/target.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tanagertrack::targets
@@ -108,6 +109,9 @@
     /// routing::target_health.
     void record_failure(routing::target_failure reason);
 
+    /// Records that another entry has lost requests at the target.
+    void record_peer_loss();
+
     /// Records a successful attempt. The target is no longer avoided.
     void record_success();
 
@@ -121,6 +125,8 @@
     routing::target_load load;
 
 private:
+    void log_pause(std::string_view reason, common::time_point now) const;
+
     /// Makes a new connection.
     void
     connect(std::function<void(std::error_code, http::client_connection_ptr)>
--- a/test/routing/test_target_health.cpp
+++ b/test/routing/test_target_health.cpp
@@ -88,4 +88,59 @@
                 health_settings().replaced_pause));
 }
 
+// Guards against entries that each lose requests of their own at a target that
+// others know to be down.
+BOOST_AUTO_TEST_CASE(two_losses_of_different_entries_start_a_pause)
+{
+    BOOST_TEST(!health.record_peer_loss(now));
+    BOOST_TEST(health.record_peer_loss(now + 299ms));
+    BOOST_TEST(health.is_avoided(now + 300ms));
+}
+
+BOOST_AUTO_TEST_CASE(own_loss_and_one_of_another_entry_start_a_pause)
+{
+    BOOST_TEST(!health.record_failure(target_failure::unanswered, now));
+    BOOST_TEST(health.record_peer_loss(now + 100ms));
+
+    target_health other;
+    BOOST_TEST(!other.record_peer_loss(now));
+    BOOST_TEST(other.record_failure(target_failure::unanswered, now + 100ms));
+}
+
+// Guards against a sound target that is avoided because single responses are
+// lost now and then.
+BOOST_AUTO_TEST_CASE(losses_that_are_far_apart_start_no_pause)
+{
+    for (int n = 0; n < 20; ++n)
+    {
+        BOOST_TEST(!health.record_peer_loss(now));
+        now += health_settings().shared_window;
+    }
+}
+
+// Guards against requests that can't be repeated and are lost at a target that
+// goes down and up in turns.
+BOOST_AUTO_TEST_CASE(target_is_distrusted_for_longer_after_each_pause)
+{
+    const health_settings settings;
+    auto last = 0ms;
+    for (int n = 0; n < 4; ++n)
+    {
+        fail_again(target_failure::unreachable);
+        health.record_success();
+        BOOST_TEST(!health.is_avoided(now));
+        auto distrusted = 0ms;
+        while (health.is_distrusted(now + distrusted))
+            distrusted += 10ms;
+        BOOST_TEST((distrusted > last || distrusted >= settings.max_distrust));
+        last = distrusted;
+        now += 1s;
+    }
+    now += settings.distrust_memory;
+    BOOST_TEST(!health.is_distrusted(now));
+    fail_again(target_failure::unreachable);
+    BOOST_TEST(!health.is_distrusted(now + settings.first_pause +
+                                     settings.first_distrust));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
