Learn the speed, knee and room of each target

Targets of one service differ in speed by a factor of two, and placement took them for equal: full targets were compared by a wait that is wrong for each of them, and requests were sent to targets that refuse them.

With routing.capacity: learned, entries measure the time between events and the duration of calls, compare each target with the median of its service, send the evidence to each other in TargetEstimate, and use it in the wait at full targets, for batch slots and to avoid targets without room. The default, announced, leaves the learned values at their defaults, which change nothing. TargetEstimate gets the number of running requests, so that the evidence of all entries shows a knee.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -149,6 +149,10 @@
     table.add_choice("routing.policy", values.policy,
                      {"expected_start", "two_choices", "round_robin", "random"},
                      "choice of target; the last three are baselines");
+    table.add_choice("routing.capacity", values.capacity,
+                     {"announced", "learned"},
+                     "capacity of targets: their announced slots, or in "
+                     "addition speed and knee learned from requests");
     table.add_integer("routing.max_attempts", values.max_attempts, 1, 10,
                       "targets on which one online request may run");
     table.add_real("routing.default_requests_per_second",
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -98,6 +98,7 @@
 struct routing_settings
 {
     std::string policy = "expected_start";
+    std::string capacity = "announced";
     std::uint32_t max_attempts = 3;
     double default_requests_per_second = 50;
     std::uint32_t default_burst = 100;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <random>
 #include <utility>
@@ -29,6 +30,13 @@
 /// which already outnumber the slots.
 constexpr std::size_t max_waiting_groups = 8;
 
+/// Interval at which the capacities of targets are computed.
+constexpr auto capacity_interval = milliseconds(250);
+
+/// Maximum number of targets with metrics of their capacity, the first ones by
+/// id.
+constexpr std::size_t max_capacity_gauges = 200;
+
 routing::random_below make_random()
 {
     const auto engine =
@@ -117,6 +125,8 @@
                        common::metrics_registry& metrics, core_parts parts)
     : context_(context), settings_(settings), metrics_(metrics),
       parts_(std::move(parts)),
+      capacity_timer_(context, capacity_interval,
+                      [this] { refresh_capacities(); }),
       targets_(context,
                {settings.data_centre, settings.region, settings.regions},
                make_target_hooks()),
@@ -180,6 +190,8 @@
     hooks.on_departed =
         [this](const std::string& id, fleet::departure_reason reason)
     {
+        if (const auto* target = targets_.find(id))
+            capacities_.remove_target(target->key());
         targets_.remove(id);
         common::log_info("target_departed",
                          {{"target", id}, {"why", to_string(reason)}});
@@ -206,7 +218,19 @@
                           {"result", to_string(attempt.result)}})
             .add();
         guard_.handle_attempt_end(target, attempt);
+        if (learns_capacity() && attempt.head_received &&
+            attempt.result == targets::attempt_result::not_run)
+            capacities_.add_refusal(target.key(),
+                                    target.load.reported.running +
+                                        target.load.reported.waiting,
+                                    common::clock::now());
     };
+    if (learns_capacity())
+        hooks.on_timing = [this](targets::target& target,
+                                 const routing::target_timing& timing)
+        {
+            capacities_.add_timing(target.key(), timing);
+        };
     hooks.on_leaving = [this](targets::target& target)
     {
         // The id may belong to a later start of the target by now.
@@ -250,6 +274,16 @@
     {
         guard_.apply_observations(received);
     };
+    if (!learns_capacity())
+        return hooks;
+    hooks.take_capacity_news = [this](std::size_t n)
+    {
+        return capacities_.take_news(n, common::clock::now());
+    };
+    hooks.on_capacity_news = [this](const routing::capacity_news& news)
+    {
+        capacities_.add_news(news, common::clock::now());
+    };
     return hooks;
 }
 
@@ -336,6 +370,8 @@
             "peer_listen_failed",
             {{"address", to_string(address)}, {"what", ec.message()}});
     guard_.start();
+    if (learns_capacity())
+        capacity_timer_.start();
     jobs_.start();
     runner_.start();
     membership_.start();
@@ -353,6 +389,8 @@
 {
     directory_.expire(now);
     update_gauges();
+    if (learns_capacity())
+        update_capacity_gauges();
 }
 
 bool entry_core::apply(const fleet::configuration_ptr& configuration)
@@ -370,6 +408,73 @@
     return true;
 }
 
+bool entry_core::learns_capacity() const
+{
+    return settings_.routing.capacity == "learned";
+}
+
+void entry_core::refresh_capacities()
+{
+    targets_.for_each(
+        [this](targets::target& it)
+        {
+            capacities_.add_target(it.key(), it.announced().services.front(),
+                                   it.load.slots, it.announced().started_ms);
+        });
+    capacities_.refresh(common::clock::now(),
+                        [this](const routing::capacity_change& change)
+                        { log_capacity_change(change); });
+    targets_.for_each(
+        [this](targets::target& it)
+        { it.load.capacity = capacities_.estimate_of(it.key()); });
+}
+
+void entry_core::log_capacity_change(
+    const routing::capacity_change& change) const
+{
+    targets_.for_each(
+        [&](const targets::target& it)
+        {
+            if (it.key() == change.target)
+                common::log_info("target_speed_changed",
+                                 {{"target", it.id()},
+                                  {"relative_time", change.after},
+                                  {"before", change.before},
+                                  {"error", change.error},
+                                  {"periods", change.periods},
+                                  {"knee", change.knee}});
+        });
+}
+
+void entry_core::update_capacity_gauges()
+{
+    std::size_t n = 0;
+    targets_.for_each(
+        [&](const targets::target& it)
+        {
+            if (++n > max_capacity_gauges)
+                return;
+            const auto set =
+                [&](std::string_view name, std::string_view help, double value)
+            {
+                metrics_.get_gauge(name, help, {{"target", it.id()}})
+                    .set(std::llround(value));
+            };
+            const auto& capacity = it.load.capacity;
+            constexpr double permille = 1000;
+            constexpr double percent = 100;
+            set("tanagertrack_target_relative_time_permille",
+                "time of the target's work; 1000: as the median target",
+                capacity.relative_time * permille);
+            set("tanagertrack_target_knee",
+                "requests from which throughput no longer grows; 0: unknown",
+                capacity.knee);
+            set("tanagertrack_target_confidence_percent",
+                "confidence in the relative time",
+                capacity.confidence * percent);
+        });
+}
+
 void entry_core::update_gauges()
 {
     const auto counts = runner_.counts();
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -14,12 +14,14 @@
 #include "batch/runner.hpp"
 #include "batch/text_store.hpp"
 #include "common/metrics.hpp"
+#include "common/periodic_timer.hpp"
 #include "config/settings.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/target_directory.hpp"
 #include "online/environment.hpp"
 #include "peers/load_exchange.hpp"
 #include "quarantine/prompt_guard.hpp"
+#include "routing/capacity_table.hpp"
 #include "store/store_service.hpp"
 #include "targets/target_set.hpp"
 
@@ -170,6 +172,15 @@
     peers::own_state own_state();
     void update_gauges();
 
+    /// Returns true if the capacities of targets are learned.
+    bool learns_capacity() const;
+
+    /// Computes the capacities of all targets anew and writes them into the
+    /// targets' loads.
+    void refresh_capacities();
+    void log_capacity_change(const routing::capacity_change& change) const;
+    void update_capacity_gauges();
+
     boost::asio::io_context& context_;
     const config::settings& settings_;
     common::metrics_registry& metrics_;
@@ -178,6 +189,8 @@
     std::function<void(const fleet::configuration_ptr&)> on_configured_;
 
     // Targets.
+    routing::capacity_table capacities_;
+    common::periodic_timer capacity_timer_;
     targets::target_set targets_;
     fleet::target_directory directory_;
     routing::random_below random_;
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -1,5 +1,6 @@
 #include "peers/load_exchange.hpp"
 
+#include "peers/capacity_messages.hpp"
 #include "peers/observation_messages.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -177,6 +178,7 @@
             out.set_age_ms(static_cast<std::uint32_t>(
                 duration_cast<milliseconds>(now - report.received_at).count()));
         });
+    add_capacity_news(message, hooks_.take_capacity_news);
     return message;
 }
 
@@ -205,6 +207,7 @@
     if (!loads_.apply_message(message, now))
         return;
     apply_reports(message);
+    read_capacity_news(message, hooks_.on_capacity_news);
     update_target_loads();
     hooks_.on_change();
     if (message.crashes_size() + message.sound_parts_size() != 0)
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -4,6 +4,7 @@
 #include "common/endpoint.hpp"
 #include "peers/peer_loads.hpp"
 #include "quarantine/crash_report.hpp"
+#include "routing/capacity_table.hpp"
 #include "routing/urgency.hpp"
 #include "targets/target_set.hpp"
 
@@ -65,6 +66,18 @@
     std::function<void(const quarantine::observations&)> on_observations =
         [](const quarantine::observations&) {
         };
+
+    /// Returns at most `n` pieces of news on capacities that are to be sent.
+    std::function<std::vector<routing::capacity_news>(std::size_t n)>
+        take_capacity_news = [](std::size_t)
+    {
+        return std::vector<routing::capacity_news>();
+    };
+
+    /// Called with each piece of news on a capacity from another entry.
+    std::function<void(const routing::capacity_news&)> on_capacity_news =
+        [](const routing::capacity_news&) {
+        };
 };
 
 /// Sends the number of requests that this entry runs on each target to the
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -12,9 +12,6 @@
 
 using fractional_ms = std::chrono::duration<double, std::milli>;
 
-/// Network round trip to a target in ms, indexed by `distance`.
-constexpr double round_trip_ms[] = {0.3, 3.0, 16.0};
-
 /// Increase of the time to the first token for each request that is under way
 /// at the target, relative to an empty target.
 constexpr double slowdown_per_request = 0.05;
@@ -26,6 +23,21 @@
 /// Added to the cost, in ms, of a target that is avoided after a failure.
 constexpr double avoided_cost_ms = 10000;
 
+/// Cost, in ms, of a target that has as many online requests as its knee. Less
+/// than the wait for a slot, so that a target beyond its knee is still used
+/// before a full one.
+constexpr double knee_cost_ms = 60;
+
+/// Cost, in ms, of a target that would refuse the request. Requests of other
+/// entries that this one does not know of yet arrive before it.
+constexpr double no_room_cost_ms = 5000;
+constexpr std::uint32_t room_margin = 2;
+
+/// Share of the run time's expected difference from the usual one that is part
+/// of the cost. With a greater share, the fastest targets would get all
+/// requests while they have free slots, and none for those that arrive next.
+constexpr double finish_share = 0.005;
+
 /// Returns the simple policy with the same name. The value for `expected_start`
 /// is not used.
 choice_policy baseline_policy(placement_policy policy)
@@ -57,7 +69,10 @@
                                common::time_point now)
 {
     const auto reserved = std::min(reserve, load.slots / min_slots_per_reserve);
-    const auto free = load.free_slots();
+    const auto usable = load.capacity.knee != 0
+                            ? std::min(load.slots, load.capacity.knee)
+                            : load.slots;
+    const auto free = usable - std::min(usable, load.total());
     return load.health.is_avoided(now) ? 0 : free - std::min(free, reserved);
 }
 
@@ -117,7 +132,8 @@
         // All slots run online requests: they become free one after the other.
         const double requests_ahead = load.online() - load.slots + 1;
         return fractional_ms(requests_ahead * to_ms(settings_.service_time) /
-                             load.slots * slowdown(load, now));
+                             load.slots * slowdown(load, now) *
+                             load.capacity.relative_time);
     }
     if (load.free_slots() > 0)
         return fractional_ms(0);
@@ -134,6 +150,14 @@
         wait_ms + round_trip_ms[static_cast<unsigned>(load.proximity)] +
         to_ms(settings_.first_token) * occupancy_factor * slowdown(load, now) +
         to_ms(settings_.online_risk) * online_share;
+    if (load.capacity.relative_time != 1)
+        cost += finish_share * to_ms(settings_.service_time) *
+                (load.capacity.relative_time - 1);
+    if (load.capacity.knee != 0 && load.online() >= load.capacity.knee)
+        cost += knee_cost_ms;
+    if (load.capacity.room != 0 &&
+        load.online() + room_margin >= load.capacity.room)
+        cost += no_room_cost_ms;
     if (load.health.is_avoided(now))
         cost += avoided_cost_ms;
     return cost;
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -75,8 +75,9 @@
 };
 
 /// Chooses a target for each online request and batch item from the known loads
-/// of the targets. Keeps no load itself and has no clock of its own: loads and
-/// the current time are passed in. Not thread-safe.
+/// of the targets. Capacities that were learned are part of the load; without
+/// them all targets are taken for equally fast. Keeps no load itself and has no
+/// clock of its own: loads and the current time are passed in. Not thread-safe.
 class placement
 {
 public:
@@ -95,7 +96,8 @@
     ///
     /// Of each target, `reserve` slots are left free for online requests, but
     /// at most a quarter of its slots. The first `reserved_for_peers` free
-    /// slots are left to items of other entries. All entries order the free
+    /// slots are left to items of other entries. Slots beyond a learned knee
+    /// are not used. All entries order the free
     /// slots in the same way, the emptiest targets first, so that entries that
     /// start items at the same moment choose different slots.
     std::optional<placement_choice>
--- a/src/routing/target_load.hpp
+++ b/src/routing/target_load.hpp
@@ -3,6 +3,7 @@
 
 #include "common/clock.hpp"
 #include "routing/subset.hpp"
+#include "routing/target_capacity.hpp"
 #include "routing/target_health.hpp"
 
 #include <algorithm>
@@ -19,6 +20,9 @@
     batch
 };
 
+/// Network round trip to a target in ms, indexed by `distance`.
+inline constexpr double round_trip_ms[] = {0.3, 3.0, 16.0};
+
 /// Load that a target reported in a response.
 struct load_report
 {
@@ -57,6 +61,10 @@
     /// Health of the target according to this entry's attempts.
     target_health health;
 
+    /// What was learned of the target's capacity. Has its default value unless
+    /// the entry learns capacities.
+    capacity_estimate capacity;
+
     /// Online requests under way from all entries.
     std::uint32_t online() const
     {
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/assert.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace tanagertrack::targets
@@ -19,6 +20,16 @@
 /// Maximum size of one event of a stream in bytes.
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
 
+/// A longer measurement of the time between events is reported before its
+/// stream ends, so that a change of a target's speed is noticed soon.
+constexpr auto max_measurement = std::chrono::milliseconds(500);
+
+/// Events of a measurement; with fewer, their times are too uncertain.
+constexpr unsigned min_measured_events = 5;
+
+/// Load reports of this age or older do not tell how many requests run.
+constexpr auto max_running_age = std::chrono::milliseconds(300);
+
 attempt_result result_of(const attempt_end& end, bool content_received)
 {
     if (end.result == outcome::complete)
@@ -55,6 +66,8 @@
     destination_->add_request(request_.work);
     started_at_ = common::clock::now();
     last_progress_ = started_at_;
+    measured_running_ = running_requests();
+    delayed_ = destination_->load.total() > destination_->load.slots;
     destination_->acquire_connection(
         request_.max_idle_time,
         [self = attempt_ptr(this)](std::error_code ec,
@@ -112,6 +125,8 @@
         report->received_at = last_progress_;
         report->received_directly = true;
         destination_->load.reported = *report;
+        reported_slowdown_ = report->slowdown;
+        delayed_ = delayed_ || report->waiting != 0;
     }
     status_ = head.status;
     answered_ = true;
@@ -159,6 +174,7 @@
     {
         last_progress_ = common::clock::now();
         handle_content();
+        measure_event();
     }
     if (hooks_.on_piece)
         hooks_.on_piece(event.bytes, event.id);
@@ -193,6 +209,8 @@
 {
     const attempt_ptr self(this);
     ended_ = true;
+    if (end.result == outcome::complete && http::is_success(status_))
+        measure_end();
     remove_from_load();
     record_target_health(end);
     report_end(result_of(end, content_received_));
@@ -225,6 +243,68 @@
         destination_->hooks().on_answer_begun(request_.prompt);
 }
 
+double attempt::running_requests() const
+{
+    const auto& load = destination_->load;
+    const bool is_fresh =
+        load.reported.running != 0 &&
+        common::clock::now() - load.reported.received_at < max_running_age;
+    const auto n = is_fresh ? load.reported.running : load.total();
+    return std::clamp<std::uint32_t>(n, 1, load.slots);
+}
+
+void attempt::measure_event()
+{
+    if (measured_events_++ == 0)
+    {
+        measured_from_ = last_progress_;
+        measured_running_ = running_requests();
+        return;
+    }
+    if (measured_events_ < min_measured_events ||
+        last_progress_ - measured_from_ < max_measurement)
+        return;
+    report_timing(routing::timing_kind::event, measured_from_,
+                  measured_events_ - 1);
+    measured_events_ = 1;
+    measured_from_ = last_progress_;
+    measured_running_ = running_requests();
+}
+
+void attempt::measure_end()
+{
+    using routing::timing_kind;
+    if (splits_events_)
+    {
+        if (measured_events_ >= min_measured_events)
+            report_timing(timing_kind::event, measured_from_,
+                          measured_events_ - 1);
+        return;
+    }
+
+    // Part of a body has no known amount of work, and a wait at the target
+    // tells nothing about its speed.
+    if (delayed_ || request_.after_event)
+        return;
+    const auto round_trip = std::chrono::duration<double, std::milli>(
+        routing::round_trip_ms[static_cast<unsigned>(
+            destination_->load.proximity)]);
+    report_timing(
+        request_.work == routing::work_class::online ? timing_kind::online_call
+                                                     : timing_kind::batch_call,
+        started_at_ + std::chrono::duration_cast<common::duration>(round_trip),
+        1);
+}
+
+void attempt::report_timing(routing::timing_kind kind, common::time_point begin,
+                            double units)
+{
+    const double running = (measured_running_ + running_requests()) / 2;
+    destination_->hooks().on_timing(
+        *destination_,
+        {kind, begin, last_progress_, units, running, reported_slowdown_});
+}
+
 void attempt::report_end(attempt_result result)
 {
     destination_->hooks().on_attempt_end(*destination_,
@@ -255,6 +335,9 @@
 
 void attempt::pause(bool paused)
 {
+    // Events that were not read in time do not show the target's speed.
+    measured_events_ = 0;
+    delayed_ = true;
     if (connection_)
         connection_->pause(paused);
 }
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -165,6 +165,22 @@
     /// Ends the attempt and calls `on_end`.
     void finish(attempt_end end);
 
+    /// Counts an event and calls the hook of the process with the time between
+    /// events, several times for a long stream.
+    void measure_event();
+
+    /// Calls the hook of the process with the measurement of a complete
+    /// response.
+    void measure_end();
+
+    /// Calls the hook of the process with a measurement that ends now.
+    void report_timing(routing::timing_kind kind, common::time_point begin,
+                       double units);
+
+    /// Returns the number of requests that the target runs now, as far as
+    /// known.
+    double running_requests() const;
+
     /// Calls the hook of the process for the first content of a successful
     /// response.
     void handle_content();
@@ -192,6 +208,21 @@
     std::optional<std::uint64_t> last_event_;
     unsigned status_ = 0;
 
+    /// Begin of the current measurement of the time between events, and the
+    /// events since then, including the first one.
+    common::time_point measured_from_;
+    unsigned measured_events_ = 0;
+
+    /// Running requests at the begin of the measurement.
+    double measured_running_ = 0;
+
+    /// Slowdown that the response reports; 0 if it does not.
+    double reported_slowdown_ = 0;
+
+    /// True if the reading of the response was paused, or if the request waited
+    /// at the target.
+    bool delayed_ = false;
+
     /// True while the attempt counts in the target's load.
     bool counted_in_load_ = false;
     bool first_on_connection_ = false;
--- a/src/targets/target_hooks.hpp
+++ b/src/targets/target_hooks.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERTRACK_TARGETS_TARGET_HOOKS_HPP
 #define TANAGERTRACK_TARGETS_TARGET_HOOKS_HPP
 
+#include "routing/capacity_table.hpp"
 #include "routing/prompt.hpp"
 #include "routing/target_load.hpp"
 
@@ -70,6 +71,11 @@
     std::function<void(const routing::prompt&)> on_answer_begun =
         [](const routing::prompt&) {
         };
+
+    /// Called with each measurement of a target's work.
+    std::function<void(target&, const routing::target_timing&)> on_timing =
+        [](target&, const routing::target_timing&) {
+        };
 };
 
 } // namespace tanagertrack::targets
--- a/test/peers/test_load_exchange.cpp
+++ b/test/peers/test_load_exchange.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 
 using namespace tanagertrack;
 using namespace tanagertrack::test;
@@ -39,10 +41,18 @@
               context, set, member, peers::exchange_settings{5ms, 50ms},
               peers::exchange_hooks{.read_own_state = [this] { return own; },
                                     .on_change = [this] { ++changes; },
-                                    .on_observations =
+                                    .on_observations = [this](const auto& it)
+                                    { observed.push_back(it); },
+                                    .take_capacity_news =
+                                        [this](std::size_t n)
+                                    {
+                                        max_news = std::max(max_news, n);
+                                        return std::exchange(news_to_send, {});
+                                    },
+                                    .on_capacity_news =
                                         [this](const auto& it)
                                     {
-                                        observed.push_back(it);
+                                        news.push_back(it);
                                     }}))
     {
         BOOST_REQUIRE(!exchange->start(address));
@@ -59,6 +69,9 @@
     peers::own_state own;
     unsigned changes = 0;
     std::vector<quarantine::observations> observed;
+    std::vector<routing::capacity_news> news_to_send;
+    std::vector<routing::capacity_news> news;
+    std::size_t max_news = 0;
     targets::target_set set;
     std::unique_ptr<peers::load_exchange> exchange;
 };
@@ -124,6 +137,25 @@
     BOOST_TEST(!load_at(two, "t1").reported.received_directly);
 }
 
+// Guards against evidence of capacities that is lost on the way, and against
+// messages that grow by more than a fifth because of it.
+BOOST_AUTO_TEST_CASE(news_of_capacities_reach_peers)
+{
+    one.news_to_send = {{7, 1.5, 250, 6, 4, 30ms}};
+    one.exchange->handle_load_change();
+    BOOST_REQUIRE(run_until(context, [&] { return !two.news.empty(); }));
+    BOOST_TEST(two.news.size() == 1);
+    BOOST_TEST(two.news[0].target == 7);
+    BOOST_TEST(two.news[0].relative_time == 1.5);
+    BOOST_TEST(two.news[0].weight == 250);
+    BOOST_TEST(two.news[0].running == 6);
+    BOOST_TEST(two.news[0].knee == 4);
+    BOOST_TEST((two.news[0].age == 30ms));
+
+    // The messages of this test are short.
+    BOOST_TEST(one.max_news == 1);
+}
+
 // Guards against a number of datagrams that grows with the square of the number
 // of entries.
 BOOST_AUTO_TEST_CASE(message_interval_grows_with_the_number_of_peers)
--- a/test/targets/test_attempt.cpp
+++ b/test/targets/test_attempt.cpp
@@ -78,14 +78,16 @@
     /// process, and the number of answers that have begun.
     std::vector<targets::attempt_result> results;
     unsigned answers_begun = 0;
+    std::vector<routing::target_timing> timings;
     const targets::target_hooks hooks{
         .on_attempt_end =
             [this](targets::target&, const targets::ended_attempt& it)
         { results.push_back(it.result); },
-        .on_answer_begun =
-            [this](const routing::prompt&)
+        .on_answer_begun = [this](const routing::prompt&) { ++answers_begun; },
+        .on_timing =
+            [this](targets::target&, const auto& it)
         {
-            ++answers_begun;
+            timings.push_back(it);
         }};
     boost::asio::io_context context;
     scripted_server server{context};
@@ -165,6 +167,41 @@
     BOOST_TEST(answers_begun == 2);
 }
 
+// Guards against evidence of a target's speed from streams that are too short,
+// from answers that are not complete, and from requests that waited.
+BOOST_AUTO_TEST_CASE(complete_answers_measure_the_target)
+{
+    const std::string two_events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
+    std::string events;
+    for (int n = 1; n <= 6; ++n)
+        events += "id: " + std::to_string(n) + "\ndata: x\n\n";
+    server.add(whole_answer(200, two_events, answers_to("a")));
+    server.add(whole_answer(200, events, answers_to("a")));
+    run("a", true);
+    BOOST_TEST(timings.empty());
+    run("a", true);
+    BOOST_REQUIRE(timings.size() == 1);
+    BOOST_TEST((timings[0].kind == routing::timing_kind::event));
+    BOOST_TEST(timings[0].units == 5);
+    BOOST_TEST(timings[0].running == 1);
+
+    server.add(whole_answer(200, "x", answers_to("a")));
+    server.add(whole_answer(500, "x", answers_to("a")));
+    server.add("HTTP/1.1 200 OK\r\n" + answers_to("a") +
+                   "Content-Length: 500\r\n\r\nx",
+               true);
+    for (int n = 0; n < 3; ++n)
+        run("a");
+    BOOST_REQUIRE(timings.size() == 2);
+    BOOST_TEST((timings[1].kind == routing::timing_kind::online_call));
+    BOOST_TEST(timings[1].units == 1);
+
+    destination->load.peer_online = 100;
+    server.add(whole_answer(200, "x", answers_to("a")));
+    run("a");
+    BOOST_TEST(timings.size() == 2);
+}
+
 // Guards against passing an answer on to the wrong caller.
 BOOST_AUTO_TEST_CASE(answer_with_the_id_of_another_request_ends_as_failed)
 {
