--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -154,6 +154,10 @@
                      "shared: entries tell each other at which targets they "
                      "lose requests, and send those that can't be repeated "
                      "elsewhere for a while");
+    table.add_choice("routing.capacity", values.capacity,
+                     {"announced", "learned"},
+                     "capacity of targets: their announced slots, or in "
+                     "addition speed and knee learned from requests");
     table.add_integer("routing.max_attempts", values.max_attempts, 1, 10,
                       "targets on which one online request may run");
     table.add_real("routing.default_requests_per_second",
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -99,6 +99,7 @@
 {
     std::string policy = "expected_start";
     std::string failure_detection = "own";
+    std::string capacity = "announced";
     std::uint32_t max_attempts = 3;
     double default_requests_per_second = 50;
     std::uint32_t default_burst = 100;
