Limit the requests of a team over all entries together

Each entry decided on its own callers only, so a team's rate could not be limited. The entries now exchange counters of admitted requests with their load messages, and each spends its share of one token bucket between two rounds of messages.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -8,7 +8,10 @@
 #include <algorithm>
 #include <memory>
 #include <random>
+#include <string>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace tanagertrack::entry
 {
@@ -126,17 +129,18 @@
                  common::random_id().substr(0, member_suffix_length)),
       guard_(context, metrics, parts_.store, parts_.quarantine_topic,
              member_id_, make_guard_hooks()),
-      online_{context,
-              online_settings_,
-              parts_.protocol,
-              targets_,
-              placement_,
-              random_,
-              [this](targets::target& target) { runner_.preempt_one(target); },
-              [this](const routing::prompt& prompt)
-              {
-                  return guard_.time_refused(prompt);
-              }},
+      quota_(member_id_, {}, common::clock::now()),
+      rejections_(metrics), online_{context,
+                                    online_settings_,
+                                    parts_.protocol,
+                                    targets_,
+                                    placement_,
+                                    random_,
+                                    [this](targets::target& target)
+                                    { runner_.preempt_one(target); },
+                                    [this](const routing::prompt& prompt)
+                                    { return guard_.time_refused(prompt); },
+                                    make_caller_hooks()},
       batch_settings_(batch_settings(settings)),
       jobs_(context, parts_.store, job_settings(settings, member_id_)),
       texts_(context, parts_.store, text_settings(settings, member_id_)),
@@ -250,6 +254,43 @@
     {
         guard_.apply_observations(received);
     };
+    hooks.read_team_uses = [this](std::size_t max)
+    {
+        return quota_.take_uses(max, common::clock::now());
+    };
+    hooks.on_team_uses = [this](const std::string& member,
+                                const std::vector<teams::team_use>& uses)
+    {
+        quota_.handle_message(member, uses, common::clock::now());
+    };
+    return hooks;
+}
+
+online::caller_hooks entry_core::make_caller_hooks()
+{
+    online::caller_hooks hooks;
+    hooks.admit = [this](const online::call& call)
+        -> std::optional<online::admission_refusal>
+    {
+        if (call.team.empty())
+            return std::nullopt;
+        const auto wait =
+            quota_.try_admit(teams::team_key(call.team), common::clock::now());
+        if (!wait)
+        {
+            rejections_.count_admitted(call.team);
+            return std::nullopt;
+        }
+        const auto code = common::result_code::rate_limited;
+        rejections_.count_rejected(call.team, code);
+        return online::admission_refusal{
+            code, std::chrono::ceil<milliseconds>(*wait)};
+    };
+    hooks.give_back = [this](const online::call& call)
+    {
+        if (!call.team.empty())
+            quota_.give_back(teams::team_key(call.team));
+    };
     return hooks;
 }
 
@@ -307,17 +348,24 @@
         common::log_info(member.departed ? "member_gone" : "member_started",
                          {{"member", member.id}, {"address", member.address}});
         if (member.departed)
+        {
             load_exchange_.remove_peer(member.id);
-        else
-            load_exchange_.add_peer(member.id, {member.address, member.port});
+            quota_.remove_entry(member.id);
+            return;
+        }
+        load_exchange_.add_peer(member.id, {member.address, member.port});
+        quota_.add_entry(member.id, common::clock::now());
     };
     listener.on_loaded = [this]
     {
         jobs_.table().for_each_member(
-            [this](const state::batch_member& member) {
+            [this](const state::batch_member& member)
+            {
                 load_exchange_.add_peer(member.id,
                                         {member.address, member.port});
+                quota_.add_entry(member.id, common::clock::now());
             });
+        quota_.set_entries_known();
     };
     return listener;
 }
@@ -352,6 +400,8 @@
 void entry_core::run_checks(common::time_point now)
 {
     directory_.expire(now);
+    quota_.expire(now);
+    report_teams(now);
     update_gauges();
 }
 
@@ -364,12 +414,37 @@
                      {{"version", configuration_->version()},
                       {"routes", configuration_->routes().size()},
                       {"services", configuration_->services().size()}});
+    update_team_limits();
     if (on_configured_)
         on_configured_(configuration_);
     runner_.schedule_start();
     return true;
 }
 
+void entry_core::update_team_limits()
+{
+    std::unordered_map<std::uint64_t, teams::quota_limit> limits;
+    limits.reserve(configuration_->teams().size());
+    for (const auto& it : configuration_->teams())
+        limits[teams::team_key(it.name)] = {it.requests_per_second, it.burst};
+    quota_.set_limits(std::move(limits), common::clock::now());
+}
+
+void entry_core::report_teams(common::time_point now)
+{
+    rejections_.write(now,
+                      [&](std::string_view name)
+                      {
+                          const auto* team =
+                              configuration_
+                                  ? configuration_->find_team_named(name)
+                                  : nullptr;
+                          return teams::rejection_report::team_numbers{
+                              team ? team->requests_per_second : 0,
+                              quota_.demand(teams::team_key(name), now)};
+                      });
+}
+
 void entry_core::update_gauges()
 {
     const auto counts = runner_.counts();
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -22,6 +22,8 @@
 #include "quarantine/prompt_guard.hpp"
 #include "store/store_service.hpp"
 #include "targets/target_set.hpp"
+#include "teams/fleet_quota.hpp"
+#include "teams/rejection_report.hpp"
 
 #include <functional>
 #include <string>
@@ -162,6 +164,15 @@
     quarantine::guard_hooks make_guard_hooks();
     peers::exchange_hooks make_exchange_hooks();
 
+    /// Returns the online decisions on callers that the core itself takes.
+    online::caller_hooks make_caller_hooks();
+
+    /// Passes the limits of the teams in the configuration to the quota.
+    void update_team_limits();
+
+    /// Logs what was rejected.
+    void report_teams(common::time_point now);
+
     /// Returns a listener that adds members that join to the peers of the load
     /// exchange, and removes those that depart.
     batch::job_listener make_member_listener();
@@ -187,6 +198,10 @@
     std::string member_id_;
     quarantine::prompt_guard guard_;
 
+    // Limits of teams.
+    teams::fleet_quota quota_;
+    teams::rejection_report rejections_;
+
     // Online requests.
     online::online_settings online_settings_;
     online::environment online_;
--- a/src/peers/load_exchange.cpp
+++ b/src/peers/load_exchange.cpp
@@ -27,6 +27,9 @@
 /// nothing new.
 constexpr auto max_report_age = milliseconds(500);
 
+/// Maximum number of teams in a message, of which each takes up to 24 bytes.
+constexpr std::size_t max_team_uses = 64;
+
 /// Adds a group of waiting items to a message.
 void add_waiting(LoadMessage& message, const routing::waiting_items& items,
                  common::time_point now)
@@ -148,6 +151,13 @@
     add_observations(message, state.observed, now);
     for (const auto& it : state.waiting)
         add_waiting(message, it, now);
+    for (const auto& it : hooks_.read_team_uses(max_team_uses))
+    {
+        auto& use = *message.add_team_uses();
+        use.set_team(it.team);
+        use.set_admitted(it.admitted);
+        use.set_asked_per_s(it.asked_per_s);
+    }
     message.set_store_age_ms(static_cast<std::uint32_t>(
         duration_cast<milliseconds>(now - state.store_contact).count()));
     targets_.for_each(
@@ -204,6 +214,7 @@
     const auto now = common::clock::now();
     if (!loads_.apply_message(message, now))
         return;
+    pass_team_uses(message);
     apply_reports(message);
     update_target_loads();
     hooks_.on_change();
@@ -211,6 +222,15 @@
         hooks_.on_observations(read_observations(message, now));
 }
 
+void load_exchange::pass_team_uses(const LoadMessage& message) const
+{
+    std::vector<teams::team_use> uses;
+    uses.reserve(static_cast<std::size_t>(message.team_uses_size()));
+    for (const auto& it : message.team_uses())
+        uses.push_back({it.team(), it.admitted(), it.asked_per_s()});
+    hooks_.on_team_uses(message.member(), uses);
+}
+
 void load_exchange::apply_reports(const LoadMessage& message)
 {
     const auto now = common::clock::now();
--- a/src/peers/load_exchange.hpp
+++ b/src/peers/load_exchange.hpp
@@ -6,6 +6,7 @@
 #include "quarantine/crash_report.hpp"
 #include "routing/urgency.hpp"
 #include "targets/target_set.hpp"
+#include "teams/team_use.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -65,6 +66,22 @@
     std::function<void(const quarantine::observations&)> on_observations =
         [](const quarantine::observations&) {
         };
+
+    /// Returns the requests of teams for a message that is about to be sent, at
+    /// most the given number. Nothing is sent for a fleet without teams.
+    std::function<std::vector<teams::team_use>(std::size_t)> read_team_uses =
+        [](std::size_t)
+    {
+        return std::vector<teams::team_use>();
+    };
+
+    /// Called for each message of another entry, with the requests of teams in
+    /// it. A message without any shows that the entry can be heard.
+    std::function<void(const std::string& member,
+                       const std::vector<teams::team_use>&)>
+        on_team_uses =
+            [](const std::string&, const std::vector<teams::team_use>&) {
+            };
 };
 
 /// Sends the number of requests that this entry runs on each target to the
@@ -117,6 +134,9 @@
     /// targets' loads.
     void apply_reports(const LoadMessage& message);
 
+    /// Passes the requests of teams on to the hook.
+    void pass_team_uses(const LoadMessage& message) const;
+
     /// Writes the peers' requests into the targets' loads.
     void update_target_loads();
 
