--- a/src/teams/fleet_quota.cpp
+++ b/src/teams/fleet_quota.cpp
@@ -29,8 +29,8 @@
 constexpr double rate_valid_s = 1.0;
 constexpr double rate_lapsed_s = 3.0;
 
-/// A counter without a known predecessor counts as the admissions of this time
-/// at the rate that is told with it.
+/// A counter that is read by a process that has just started counts as the
+/// admissions of this time at the rate that is told with it.
 constexpr double unknown_counter_s = 0.5;
 
 /// Time between two announcements of a team whose requests are all refused.
@@ -214,8 +214,8 @@
     limits_ = std::move(limits);
     std::erase_if(teams_, [this](const auto& it)
                   { return !limits_.contains(it.first); });
-    std::erase_if(counters_, [this](const auto& it)
-                  { return !limits_.contains(it.first); });
+    std::erase_if(own_, [this](std::uint64_t team)
+                  { return !teams_.contains(team); });
     for (auto& [team, state] : teams_)
         change_limit(state, limits_[team], now);
 }
@@ -233,12 +233,10 @@
     {
         const auto oldest = std::ranges::min_element(
             teams_, {}, [](const auto& it) { return it.second.used_at; });
-        counters_[oldest->first] = oldest->second.admitted;
+        std::erase(own_, oldest->first);
         teams_.erase(oldest);
     }
     auto& state = teams_[team];
-    if (const auto counter = counters_.find(team); counter != counters_.end())
-        state.admitted = counter->second;
     state.refilled_at = state.allowance_at = state.asked_at = now;
     state.used_at = now;
     state.limit = limit->second;
@@ -293,6 +291,26 @@
         apply_use(found->second, it, now);
 }
 
+double fleet_quota::spent_since(const team_state& state, const told_use* last,
+                                const team_use& use, time_point now) const
+{
+    const auto all = static_cast<double>(use.admitted);
+    if (last)
+    {
+        // Negative if the entry has returned admissions, or has begun a new
+        // count.
+        const double spent =
+            static_cast<std::int32_t>(use.admitted - last->admitted);
+        return spent >= -max_returned ? spent : all;
+    }
+    if (now - started_at_ < settings_.start_time)
+        return std::min(all, 1 + unknown_counter_s * use.asked_per_s);
+    const auto& limit = state.limit;
+    return std::min(all, limit.burst + slack_of(limit) +
+                             limit.requests_per_second *
+                                 seconds(settings_.silence).count());
+}
+
 void fleet_quota::apply_use(std::uint32_t entry, const team_use& use,
                             time_point now)
 {
@@ -300,22 +318,11 @@
     if (!known)
         return;
     auto& state = *known;
-    state.used_at = now;
     auto told = std::ranges::find(state.told, entry, &told_use::entry);
-    double spent = 0;
-    if (told == state.told.end())
-    {
-        state.told.push_back({entry});
-        told = std::prev(state.told.end());
-        spent = std::min(static_cast<double>(use.admitted),
-                         1 + unknown_counter_s * use.asked_per_s);
-    }
-    else
-    {
-        // Negative if the entry has returned admissions.
-        spent = static_cast<std::int32_t>(use.admitted - told->admitted);
-        spent = std::max(spent, -max_returned);
-    }
+    const bool is_first = told == state.told.end();
+    double spent = spent_since(state, is_first ? nullptr : &*told, use, now);
+    if (is_first)
+        told = state.told.insert(told, {entry});
     if (told->silent_since)
     {
         // The level was not refilled by the entry's part in the meantime.
@@ -325,6 +332,8 @@
         spent = std::max(0.0, spent - presumed);
         told->silent_since.reset();
     }
+    if (spent != 0 || use.asked_per_s != 0)
+        state.used_at = now;
     told->admitted = use.admitted;
     told->asked_per_s = static_cast<float>(use.asked_per_s);
     told->told_at = now;
@@ -449,6 +458,8 @@
     const auto& limit = state.limit;
     if (!std::exchange(state.is_listed, true))
         own_.push_back(team);
+    if (now - state.used_at > settings_.counter_time)
+        state.admitted = 0;
     state.asked_per_s =
         own_rate(state, now) + 1 / seconds(settings_.rate_window).count();
     state.asked_at = state.used_at = now;
@@ -582,16 +593,8 @@
 
 void fleet_quota::expire(time_point now)
 {
-    std::erase_if(teams_,
-                  [&](const auto& it)
-                  {
-                      const auto& [team, state] = it;
-                      if (now - state.used_at < settings_.idle_time)
-                          return false;
-                      if (state.admitted != 0)
-                          counters_[team] = state.admitted;
-                      return true;
-                  });
+    std::erase_if(teams_, [&](const auto& it)
+                  { return now - it.second.used_at > settings_.idle_time; });
     std::erase_if(own_,
                   [&](std::uint64_t team)
                   {
@@ -610,7 +613,6 @@
 {
     std::size_t n =
         entries_.capacity() * sizeof(entry_state) +
-        counters_.size() * (sizeof(std::uint64_t) * 2 + node_overhead) +
         (changed_.capacity() + own_.capacity()) * sizeof(std::uint64_t);
     for (const auto& [team, state] : teams_)
         n += sizeof(state) + node_overhead +
--- a/src/teams/fleet_quota.hpp
+++ b/src/teams/fleet_quota.hpp
@@ -75,9 +75,12 @@
     std::chrono::milliseconds start_time{2200};
 
     /// Limit on the number of teams with state, and the time without requests
-    /// after which a team's state is dropped.
+    /// after which a team's state is dropped. The counter that an entry sends
+    /// begins at 0 again somewhat earlier, so that a counter that is received
+    /// without state counts in full.
     std::size_t max_teams = 16384;
     std::chrono::seconds idle_time{60};
+    std::chrono::seconds counter_time{50};
 
     /// Number of messages that carry a changed counter.
     unsigned repeats = 3;
@@ -264,6 +267,10 @@
                       common::time_point now);
     void refill(team_state& state, const part_limit& part,
                 common::time_point now) const;
+
+    /// Returns the admissions that a counter shows since the last one.
+    double spent_since(const team_state& state, const told_use* last,
+                       const team_use& use, common::time_point now) const;
     void apply_use(std::uint32_t entry, const team_use& use,
                    common::time_point now);
 
@@ -313,9 +320,6 @@
     std::unordered_map<std::uint64_t, quota_limit> limits_;
     std::unordered_map<std::uint64_t, team_state> teams_;
 
-    /// Counters of teams whose state was dropped, so that they continue.
-    std::unordered_map<std::uint64_t, std::uint32_t> counters_;
-
     /// Teams whose counters have to be sent.
     std::vector<std::uint64_t> changed_;
 
