--- a/src/teams/fleet_quota.cpp
+++ b/src/teams/fleet_quota.cpp
@@ -585,7 +585,11 @@
     {
         next_own_ = (next_own_ + 1) % own_.size();
         const auto found = teams_.find(own_[next_own_]);
-        if (found != teams_.end() && found->second.repeats_left == 0)
+        const bool is_sent = found == teams_.end() ||
+                             found->second.repeats_left != 0 ||
+                             std::ranges::find(uses, found->first,
+                                               &team_use::team) != uses.end();
+        if (!is_sent)
             add(found->first, found->second);
     }
     return uses;
--- a/test/peers/test_load_exchange.cpp
+++ b/test/peers/test_load_exchange.cpp
@@ -37,13 +37,18 @@
                }}),
           exchange(std::make_unique<peers::load_exchange>(
               context, set, member, peers::exchange_settings{5ms, 50ms},
-              peers::exchange_hooks{.read_own_state = [this] { return own; },
-                                    .on_change = [this] { ++changes; },
-                                    .on_observations =
-                                        [this](const auto& it)
-                                    {
-                                        observed.push_back(it);
-                                    }}))
+              peers::exchange_hooks{
+                  .read_own_state = [this] { return own; },
+                  .on_change = [this] { ++changes; },
+                  .on_observations = [this](const auto& it)
+                  { observed.push_back(it); },
+                  .read_team_uses = [this](std::size_t) { return own_uses; },
+                  .on_team_uses =
+                      [this](const auto& member, const auto& uses)
+                  {
+                      heard_from = member;
+                      peer_uses = uses;
+                  }}))
     {
         BOOST_REQUIRE(!exchange->start(address));
         for (const auto* id : {"t1", "t2"})
@@ -59,6 +64,9 @@
     peers::own_state own;
     unsigned changes = 0;
     std::vector<quarantine::observations> observed;
+    std::vector<teams::team_use> own_uses;
+    std::vector<teams::team_use> peer_uses;
+    std::string heard_from;
     targets::target_set set;
     std::unique_ptr<peers::load_exchange> exchange;
 };
@@ -124,6 +132,16 @@
     BOOST_TEST(!load_at(two, "t1").reported.received_directly);
 }
 
+BOOST_AUTO_TEST_CASE(requests_of_teams_are_sent_to_peers)
+{
+    // A message without teams shows that the entry can be heard.
+    BOOST_TEST(run_until(context, [&] { return two.heard_from == "m1"; }));
+    BOOST_TEST(two.peer_uses.empty());
+    one.own_uses = {{0xfedcba9876543210, 4'000'000'000, 17}, {7, 0, 1}};
+    BOOST_TEST(
+        run_until(context, [&] { return two.peer_uses == one.own_uses; }));
+}
+
 // Guards against a number of datagrams that grows with the square of the number
 // of entries.
 BOOST_AUTO_TEST_CASE(message_interval_grows_with_the_number_of_peers)
--- a/test/teams/test_fleet_quota.cpp
+++ b/test/teams/test_fleet_quota.cpp
@@ -308,7 +308,7 @@
 refusals measure_refusals(std::size_t n, const quota_limit& limit,
                           const std::vector<double>& weights,
                           const std::function<double(int)>& rate, int end_ms,
-                          std::uint64_t seed)
+                          std::uint64_t seed, int first_ms = idle_ms + onset_ms)
 {
     quota_fleet fleet(n, {}, seed);
     fleet.limit = [&](std::size_t, int)
@@ -328,7 +328,7 @@
     while (fleet.now_ms() < end_ms)
     {
         fleet.step();
-        const bool counts = fleet.now_ms() > idle_ms + onset_ms;
+        const bool counts = fleet.now_ms() > first_ms;
         double asked = fleet.ran.back() + fleet.refused.back();
         tokens =
             std::min(limit.burst, tokens + limit.requests_per_second *
@@ -427,6 +427,21 @@
     }
 }
 
+// Guards against a team that is refused for long when it begins at one entry
+// of an idle fleet.
+BOOST_AUTO_TEST_CASE(sudden_start_at_one_entry_is_mostly_admitted)
+{
+    for (const double rate : {8.0, 40.0, 200.0})
+    {
+        const auto it = measure_refusals(
+            37, {rate, rate}, uneven(37, 1, 5),
+            [&](int) { return 0.95 * rate; }, idle_ms + onset_ms, 5, idle_ms);
+        BOOST_TEST_MESSAGE("rate " << rate << " refused in the first "
+                                   << onset_ms << " ms: " << it.fleet);
+        BOOST_TEST(it.fleet < 0.5);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(bursty_load_is_refused_as_by_one_bucket)
 {
     const std::array steps{0.38, 1.85, 0.7, 1.6, 0.5, 1.2, 0.8};
