--- a/src/teams/fleet_quota.cpp
+++ b/src/teams/fleet_quota.cpp
@@ -203,8 +203,8 @@
 
     // The entries that are left divide their part among them.
     const double left = std::max(own, 1 - lost);
-    state.lowest_share = std::min(1.0, state.lowest_share / left);
-    state.previous_lowest = std::min(1.0, state.previous_lowest / left);
+    for (auto& it : state.lowest_shares)
+        it = std::min(1.0, it / left);
 }
 
 void fleet_quota::set_limits(
@@ -401,22 +401,24 @@
     const auto delay = settings_.raise_delay;
     if (delay.count() == 0)
         return state.share;
+    const auto part_length = delay / (share_parts - 1);
+    auto& lowest = state.lowest_shares;
     if (state.share_since == time_point() ||
         now - state.share_since > 2 * delay)
     {
         // What the others assume of an entry without requests.
-        const double initial = share_of(0, total - rate, reachable_);
-        state.previous_lowest = state.lowest_share =
-            std::min(state.share, initial);
+        lowest.fill(
+            std::min(state.share, share_of(0, total - rate, reachable_)));
         state.share_since = now;
     }
-    else if (now - state.share_since > delay)
+    else if (now - state.share_since > part_length)
     {
-        state.previous_lowest = std::exchange(state.lowest_share, state.share);
+        std::shift_right(lowest.begin(), lowest.end(), 1);
+        lowest.front() = state.share;
         state.share_since = now;
     }
-    state.lowest_share = std::min(state.lowest_share, state.share);
-    state.share = std::min(state.previous_lowest, state.lowest_share);
+    lowest.front() = std::min(lowest.front(), state.share);
+    state.share = std::ranges::min(lowest);
     return state.share;
 }
 
--- a/src/teams/fleet_quota.hpp
+++ b/src/teams/fleet_quota.hpp
@@ -4,6 +4,7 @@
 #include "common/clock.hpp"
 #include "teams/team_use.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -48,7 +49,7 @@
     /// Time for which a larger own share must have been announced before it is
     /// used. Longer than `silence`, so that entries that could not be told have
     /// been noticed to be unreachable by then. 0 removes the guard.
-    std::chrono::milliseconds raise_delay{2000};
+    std::chrono::milliseconds raise_delay{2300};
 
     /// Requests beyond rate and burst that may be admitted before all entries
     /// know of it, in multiples of the rate and the burst, and a number. The
@@ -173,6 +174,8 @@
         bool in_use = false;
     };
 
+    static constexpr std::size_t share_parts = 5;
+
     /// What another entry has told of a team.
     struct told_use
     {
@@ -215,10 +218,9 @@
         std::uint32_t admitted = 0;
         std::vector<admissions> recent;
 
-        // Lowest share of this entry in the current and the previous interval
-        // of `raise_delay`.
-        double lowest_share = 0;
-        double previous_lowest = 0;
+        /// Lowest share of this entry in each part of the last `raise_delay`,
+        /// the current part first.
+        std::array<double, share_parts> lowest_shares{};
         common::time_point share_since;
 
         /// Share that is safe to use; 0 before the first request.
--- a/test/teams/test_quota_rules.cpp
+++ b/test/teams/test_quota_rules.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <ctime>
 #include <random>
+#include <set>
 
 using namespace tanagertrack;
 using namespace std::chrono_literals;
@@ -134,17 +135,15 @@
     quota.set_limits(limits, at(0));
     for (std::uint64_t i = 0; i < 200; ++i)
         (void)quota.try_admit(i, at(0));
-    std::vector<std::uint64_t> sent;
+    std::set<std::uint64_t> sent;
     for (int i = 0; i < 4; ++i)
     {
         const auto uses = quota.take_uses(64, at(i));
         BOOST_TEST(uses.size() <= 64);
         for (const auto& it : uses)
-            sent.push_back(it.team);
+            sent.insert(it.team);
     }
-    std::ranges::sort(sent);
-    const auto [last, end] = std::ranges::unique(sent);
-    BOOST_TEST((last - sent.begin()) == 200);
+    BOOST_TEST(sent.size() == 200);
 }
 
 // Guards against a table that grows with all teams that ever sent a request.
