--- a/src/teams/fleet_quota.cpp
+++ b/src/teams/fleet_quota.cpp
@@ -33,6 +33,9 @@
 /// admissions of this time at the rate that is told with it.
 constexpr double unknown_counter_s = 0.5;
 
+/// Time for which the share of another entry is used.
+constexpr auto share_interval = milliseconds(200);
+
 /// Time between two announcements of a team whose requests are all refused.
 constexpr auto refused_interval = milliseconds(250);
 
@@ -181,14 +184,16 @@
     refill(state, part, now);
     const double own =
         state.share > 0 ? state.share : share_of(0, 0, reachable_);
-    const double others = total_rate(state, now) - own_rate(state, now);
+
+    // The share of an entry that has told nothing. The silent entries do not
+    // know the current rates, only those at the time when they were heard.
+    const double initial = share_of(0, state.told.empty() ? 0 : 1, reachable_);
     double lost = 0;
     for (const auto entry : silent)
     {
         const auto use = std::ranges::find(state.told, entry, &told_use::entry);
         const bool is_told = use != state.told.end();
-        const double rate = is_told ? told_rate(*use, now) : 0;
-        const double share = (1 - own) * share_of(rate, others, reachable_ - 1);
+        const double share = std::min(is_told ? use->share : initial, 1 - lost);
         const double age = seconds(now - entries_[entry].heard_at).count();
         state.level -= share * (part.cap + part.slack + age * part.rate);
         lost += share;
@@ -337,6 +342,12 @@
     told->admitted = use.admitted;
     told->asked_per_s = static_cast<float>(use.asked_per_s);
     told->told_at = now;
+    if (now - told->share_at > share_interval)
+    {
+        told->share = static_cast<float>(
+            share_of(use.asked_per_s, total_rate(state, now), reachable_));
+        told->share_at = now;
+    }
     refill(state, part_of(state.limit), now);
     if (settings_.count_peers)
         state.level -= spent;
--- a/src/teams/fleet_quota.hpp
+++ b/src/teams/fleet_quota.hpp
@@ -184,6 +184,11 @@
         float asked_per_s = 0;
         common::time_point told_at;
 
+        /// Share that the entry could use when it was last told, and when this
+        /// was computed.
+        float share = 0;
+        common::time_point share_at;
+
         /// Time since which the entry's admissions are only presumed.
         std::optional<common::time_point> silent_since;
     };
