--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -32,6 +32,10 @@
 /// which already outnumber the slots.
 constexpr std::size_t max_waiting_groups = 8;
 
+/// Longest wait of a request of a team within its fair share, as a multiple of
+/// that of other requests. Such a request is late because of others.
+constexpr double max_wait_within_share = 2;
+
 routing::random_below make_random()
 {
     const auto engine =
@@ -291,6 +295,11 @@
         if (!call.team.empty())
             quota_.give_back(teams::team_key(call.team));
     };
+    hooks.share = [this](const online::call& call,
+                         std::chrono::duration<double, std::milli> wait)
+    {
+        return share_targets(call, wait);
+    };
     return hooks;
 }
 
@@ -421,12 +430,59 @@
     return true;
 }
 
+online::wait_decision
+entry_core::share_targets(const online::call& call,
+                          std::chrono::duration<double, std::milli> wait)
+{
+    if (call.team.empty() || call.route->objective.count() == 0)
+        return {};
+    using seconds = std::chrono::duration<double>;
+    const auto now = common::clock::now();
+    const auto key = teams::team_key(call.team);
+    if (const auto it = priorities_.find(key); it != priorities_.end())
+        it->second = call.priority;
+    fair_share_.handle_wait(seconds(wait).count(),
+                            seconds(call.route->objective).count());
+    if (fair_share_.is_due(now))
+        update_fair_share(now);
+    if (!fair_share_.is_active())
+        return {};
+    constexpr std::size_t resolution = 1'000'000;
+    const auto kept = static_cast<std::size_t>(fair_share_.kept_share(key) *
+                                               static_cast<double>(resolution));
+    if (random_(resolution) >= kept)
+    {
+        rejections_.count_rejected(call.team, common::result_code::overloaded);
+        return {.is_refused = true};
+    }
+    return {.max_wait = max_wait_within_share};
+}
+
+void entry_core::update_fair_share(common::time_point now)
+{
+    std::vector<teams::team_demand> demand;
+    if (fair_share_.needs_demand())
+        quota_.for_each_demand(
+            now,
+            [&](std::uint64_t team, double per_s)
+            {
+                const auto priority = priorities_.find(team);
+                demand.push_back(
+                    {team, priority == priorities_.end() ? 0 : priority->second,
+                     per_s});
+            });
+    fair_share_.update(demand, quota_.admitted_by_all(), now);
+}
+
 void entry_core::update_team_limits()
 {
     std::unordered_map<std::uint64_t, teams::quota_limit> limits;
     limits.reserve(configuration_->teams().size());
     for (const auto& it : configuration_->teams())
         limits[teams::team_key(it.name)] = {it.requests_per_second, it.burst};
+    priorities_.clear();
+    for (const auto& it : configuration_->teams())
+        priorities_[teams::team_key(it.name)] = it.priority.value_or(0);
     quota_.set_limits(std::move(limits), common::clock::now());
 }
 
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -22,11 +22,15 @@
 #include "quarantine/prompt_guard.hpp"
 #include "store/store_service.hpp"
 #include "targets/target_set.hpp"
+#include "teams/fair_share.hpp"
 #include "teams/fleet_quota.hpp"
 #include "teams/rejection_report.hpp"
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 namespace tanagertrack::entry
@@ -167,6 +171,12 @@
     /// Returns the online decisions on callers that the core itself takes.
     online::caller_hooks make_caller_hooks();
 
+    /// Decides on a request of a team with an estimated wait.
+    online::wait_decision
+    share_targets(const online::call& call,
+                  std::chrono::duration<double, std::milli> wait);
+    void update_fair_share(common::time_point now);
+
     /// Passes the limits of the teams in the configuration to the quota.
     void update_team_limits();
 
@@ -200,6 +210,8 @@
 
     // Limits of teams.
     teams::fleet_quota quota_;
+    teams::fair_share fair_share_;
+    std::unordered_map<std::uint64_t, std::uint32_t> priorities_;
     teams::rejection_report rejections_;
 
     // Online requests.
--- a/src/online/environment.hpp
+++ b/src/online/environment.hpp
@@ -71,6 +71,15 @@
     std::chrono::milliseconds retry_after{0};
 };
 
+/// Whether a request is sent although it would wait.
+struct wait_decision
+{
+    bool is_refused = false;
+
+    /// Factor for the longest wait with which it is sent.
+    double max_wait = 1;
+};
+
 /// Decisions on the caller of a request. The defaults admit everything.
 struct caller_hooks
 {
@@ -92,6 +101,15 @@
     {
         return std::nullopt;
     };
+
+    /// Called before the first send with the estimated wait, to share targets
+    /// between callers.
+    std::function<wait_decision(const call&,
+                                std::chrono::duration<double, std::milli>)>
+        share = [](const call&, std::chrono::duration<double, std::milli>)
+    {
+        return wait_decision();
+    };
 };
 
 /// Objects and settings that all online requests of a process share. Not
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -102,11 +102,17 @@
     const auto max_wait = std::chrono::duration<double, std::milli>(
         environment_.settings.max_wait *
         static_cast<double>(call_.route->objective.count()));
-    if (sends_ == 0 && choice->wait > max_wait)
+    const auto shared = sends_ == 0
+                            ? environment_.callers.share(call_, choice->wait)
+                            : wait_decision();
+    if (sends_ == 0 &&
+        (shared.is_refused || choice->wait > max_wait * shared.max_wait))
     {
         const auto spread = environment_.random(static_cast<std::size_t>(
             environment_.settings.retry_after_spread.count()));
-        return refuse({result_code::overloaded, "wait_too_long"},
+        return refuse({result_code::overloaded, shared.is_refused
+                                                    ? "above_fair_share"
+                                                    : "wait_too_long"},
                       environment_.settings.retry_after + milliseconds(spread));
     }
     send_to(usable[choice->index], choice->wait);
--- a/src/teams/fleet_quota.cpp
+++ b/src/teams/fleet_quota.cpp
@@ -346,6 +346,7 @@
             share_of(use.asked_per_s, total_rate(state, now), reachable_));
         told->share_at = now;
     }
+    admitted_by_all_ += spent;
     refill(state, part_of(state.limit), now);
     if (settings_.count_peers)
         state.level -= spent;
@@ -393,6 +394,17 @@
     return found == teams_.end() ? 0 : total_rate(found->second, now);
 }
 
+void fleet_quota::for_each_demand(
+    time_point now, const std::function<void(std::uint64_t, double)>& f) const
+{
+    for (const auto& [team, state] : teams_)
+    {
+        const double rate = total_rate(state, now);
+        const double limit = state.limit.requests_per_second;
+        f(team, limit > 0 ? std::min(rate, limit) : rate);
+    }
+}
+
 double fleet_quota::share_of(double rate, double total, std::size_t n) const
 {
     const double equal = 1.0 / static_cast<double>(n);
@@ -534,6 +546,7 @@
     state.level -= 1;
     state.allowance -= 1;
     ++state.admitted;
+    ++admitted_by_all_;
     mark_changed(team, state);
     if (state.limit.requests_per_second <= 0)
         return;
@@ -552,6 +565,7 @@
     state.level += 1;
     state.allowance += 1;
     --state.admitted;
+    --admitted_by_all_;
     if (!state.recent.empty() && state.recent.back().count > 0)
         --state.recent.back().count;
     mark_changed(team, state);
--- a/src/teams/fleet_quota.hpp
+++ b/src/teams/fleet_quota.hpp
@@ -160,6 +160,19 @@
     /// team.
     double demand(std::uint64_t team, common::time_point now) const;
 
+    /// Calls `f` with each team and the requests/s of it that all reachable
+    /// entries together may admit.
+    void for_each_demand(
+        common::time_point now,
+        const std::function<void(std::uint64_t team, double per_s)>& f) const;
+
+    /// Number of requests that all entries have admitted since the start of
+    /// this process, as far as known.
+    double admitted_by_all() const
+    {
+        return admitted_by_all_;
+    }
+
     /// Approximate size of the state in bytes.
     std::size_t bytes() const;
 
@@ -323,6 +336,7 @@
     common::time_point confirmed_at_;
     common::time_point refreshed_at_;
     std::size_t reachable_ = 1;
+    double admitted_by_all_ = 0;
 
     std::unordered_map<std::uint64_t, quota_limit> limits_;
     std::unordered_map<std::uint64_t, team_state> teams_;
