--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -395,6 +395,28 @@
         it->abandon();
 }
 
+// Guards against a request above its team's share that is sent, or whose
+// admission is kept though it has not run.
+BOOST_AUTO_TEST_CASE(request_above_the_fair_share_is_refused_and_given_back)
+{
+    auto& server = add_target("t1");
+    unsigned given_back = 0;
+    environment.callers.give_back = [&](const online::call&)
+    {
+        ++given_back;
+    };
+    environment.callers.share = [](const online::call&, auto)
+    {
+        return online::wait_decision{.is_refused = true};
+    };
+    const auto result = run();
+    BOOST_REQUIRE(result.refused.has_value());
+    BOOST_TEST(result.refused->code == result_code::overloaded);
+    BOOST_TEST((result.refused->ran == execution::not_run));
+    BOOST_TEST(given_back == 1U);
+    BOOST_TEST(server.requests.empty());
+}
+
 // Guards against an online request that waits behind a batch item although
 // batch items can be preempted.
 BOOST_AUTO_TEST_CASE(preemption_is_requested_when_the_target_has_no_free_slot)
