--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -35,6 +35,20 @@
                       "series of a metric; further teams share one series");
 }
 
+void add_limits(setting_table& table, process_settings& values)
+{
+    table.add_integer("process.memory_mb", values.memory_mb, 0, 1048576,
+                      "memory of the host; 0: not known");
+    table.add_integer("process.max_buffered_bytes", values.max_buffered_bytes,
+                      0, 1LL << 40,
+                      "bytes held for callers; 0: a quarter of the memory, or "
+                      "64 MB where it is not known");
+    table.add_integer("process.max_descriptors", values.max_descriptors, 0,
+                      10000000,
+                      "open descriptors, of which 200 are kept for files; 0: "
+                      "not known");
+}
+
 void add_platform(setting_table& table, platform_settings& values)
 {
     table.add_endpoint("platform.store", values.store, "the metadata store");
@@ -202,6 +216,7 @@
 {
     setting_table table;
     add_process(table, values);
+    add_limits(table, values.process);
     add_platform(table, values.platform);
     add_store(table, values.store);
     add_front(table, values.front);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -15,6 +15,19 @@
 namespace tanagertrack::config
 {
 
+/// Resources that the process may use. 0: not known.
+struct process_settings
+{
+    /// Memory of the host in MB.
+    std::size_t memory_mb = 0;
+
+    /// Bytes held for callers; 0: derived from `memory_mb`.
+    std::size_t max_buffered_bytes = 0;
+
+    /// Open descriptors.
+    std::size_t max_descriptors = 0;
+};
+
 /// Endpoints on the users' platform.
 struct platform_settings
 {
@@ -131,6 +144,7 @@
     std::map<std::string, std::string> regions;
     std::string cluster_key;
     std::size_t max_metric_series = 1000;
+    process_settings process;
     platform_settings platform;
     store_settings store;
     front_settings front;
--- a/test/integration/fleet.cpp
+++ b/test/integration/fleet.cpp
@@ -234,6 +234,11 @@
     return out;
 }
 
+int fleet::caller_port(int entry) const
+{
+    return entry_port(base_port_, entry);
+}
+
 process& fleet::process_of(const std::string& name)
 {
     return processes_.at(name);
@@ -291,9 +296,16 @@
 void fleet::start_daemons()
 {
     for (int n = 1; n <= options_.entries; ++n)
-        std::ofstream(folder_ + "/entry-" + std::to_string(n) + ".yaml",
-                      std::ios::app)
-            << options_.entry_settings;
+    {
+        const auto path = folder_ + "/entry-" + std::to_string(n) + ".yaml";
+        std::ostringstream text;
+        text << std::ifstream(path).rdbuf();
+        auto settings = text.str() + options_.entry_settings;
+        const std::string front_key = "front:\n";
+        settings.insert(settings.find(front_key) + front_key.size(),
+                        options_.front_settings);
+        std::ofstream(path) << settings;
+    }
     for (const auto& it : std::filesystem::directory_iterator(folder_))
     {
         const auto name = it.path().stem().string();
--- a/test/integration/fleet.hpp
+++ b/test/integration/fleet.hpp
@@ -28,6 +28,9 @@
 
     /// YAML text appended to the settings file of each entry.
     std::string entry_settings;
+
+    /// Indented YAML lines added to the key "front" of each entry.
+    std::string front_settings;
 };
 
 /// Runs entries and stand-ins as processes on free loopback ports, with ticket
@@ -92,6 +95,9 @@
     /// Returns the sum of a counter of GET /control/seen over all engines.
     std::int64_t engines_total(std::string_view counter) const;
 
+    /// Returns the port of an entry's listener for callers.
+    int caller_port(int entry) const;
+
     /// Returns a process by its name ("entry-1", "engine-1").
     process& process_of(const std::string& name);
 
--- a/test/integration/process.hpp
+++ b/test/integration/process.hpp
@@ -25,6 +25,12 @@
     process(process&& other) noexcept;
     process& operator=(process&& other) noexcept;
 
+    /// Process id; 0 once the process has ended and was waited for.
+    pid_t id() const
+    {
+        return id_;
+    }
+
     /// Sends a signal. Does nothing after kill(), or after wait() has returned
     /// a status.
     void signal(int number);
