Bound what an entry holds for its callers

Crowds of callers with large or incomplete requests took all memory of an entry, because each connection had limits but their sum had none.

One byte budget per process now covers heads, bodies, job uploads and answers that callers don't read. At three quarters of it, large bodies are paused and new ones refused (503 overloaded, not run); connections that move less than 1 KB in a second are given up, those of the address that holds most first; the last quarter is for small requests. At the limit of connections that follows from process.max_descriptors, a connection for which nothing is executed makes room for a new one. Pieces of a body grow with what arrived, and chunks that have arrived are parsed into one piece.

The settings process.* take effect. A log line per second and metrics give counts by reason and bytes by holder.

--- a/src/api/api_edge.cpp
+++ b/src/api/api_edge.cpp
@@ -76,6 +76,7 @@
     std::error_code start()
     {
         const auto& settings = core_.settings();
+        front_server_.use_budget(core_.caller_budget());
         auto ec = front_server_.listen({settings.address, settings.front.port});
         if (!ec)
             ec = operator_server_.listen(
--- a/src/api/job_upload.cpp
+++ b/src/api/job_upload.cpp
@@ -15,6 +15,10 @@
 /// Reading of the body pauses while more bytes than this wait for the store.
 constexpr std::size_t max_unacknowledged_bytes = 4UL * 1024 * 1024;
 
+/// Copies of an item that waits for the store: the record, and that in the
+/// request to the store.
+constexpr std::size_t item_copies = 2;
+
 /// Upper bound for the bytes that a record has in addition to an item.
 constexpr std::size_t record_overhead_bytes = 1024;
 
@@ -64,10 +68,29 @@
     // The submission may have been refused before `open` returned.
     if (ended_)
         return;
-    submission_->on_progress([self] { self->read_next(); });
+    submission_->on_progress(
+        [self]
+        {
+            self->account_for_bytes();
+            self->read_next();
+        });
+    request_.exchange->on_abandoned([self] { self->abandon(); });
     read_next();
 }
 
+void job_upload::account_for_bytes()
+{
+    request_.exchange->set_held_bytes(partial_line_.capacity() +
+                                      item_copies * submission_->held_bytes());
+}
+
+void job_upload::abandon()
+{
+    if (committed_ || std::exchange(ended_, true))
+        return;
+    submission_->cancel();
+}
+
 void job_upload::read_next()
 {
     if (ended_ || reading_ ||
@@ -92,9 +115,9 @@
         // their job is committed.
         ended_ = true;
         submission_->cancel();
-        if (ec == result_code::body_too_large)
+        if (ec == result_code::body_too_large || ec == result_code::overloaded)
             return request_.exchange->refuse(
-                http::rejection(result_code::body_too_large));
+                http::rejection(common::to_result_code(ec)));
         return request_.exchange->abort();
     }
     body_hash_.update(piece);
@@ -104,10 +127,12 @@
     const bool is_repeated = submission_->is_repeated();
     if (!is_repeated && !parse_lines(piece, end))
         return;
+    account_for_bytes();
     if (!end)
         return read_next();
     if (!is_repeated && parser_.items() == 0)
         return refuse(result_code::invalid_request, "the job has no items");
+    committed_ = true;
     submission_->commit(body_hash_.digest());
 }
 
--- a/src/api/job_upload.hpp
+++ b/src/api/job_upload.hpp
@@ -53,6 +53,13 @@
     /// Parses a whole line and adds its item to the submission. Returns false
     /// if the request was refused.
     bool submit_line(std::string_view line);
+
+    /// Reports the bytes that the upload holds to the budget.
+    void account_for_bytes();
+
+    /// Called when the connection is lost or closed. Gives up an upload that is
+    /// not complete, which may be waiting for the store.
+    void abandon();
     void refuse(std::error_code ec, std::string message);
     void handle_result(const batch::submission_result& result);
 
@@ -72,6 +79,9 @@
     /// True while a read of the body is pending.
     bool reading_ = false;
 
+    /// True once the body is complete and the job may be accepted.
+    bool committed_ = false;
+
     /// True once the job was accepted or refused, or the caller has
     /// disconnected.
     bool ended_ = false;
--- a/src/batch/intake.hpp
+++ b/src/batch/intake.hpp
@@ -101,6 +101,14 @@
         return unacknowledged_bytes_;
     }
 
+    /// Bytes of items that the submission holds: those that wait for the store,
+    /// those that are not sent yet, and those that are kept for the runner.
+    std::size_t held_bytes() const
+    {
+        return unacknowledged_bytes_ + record_bytes_ + part_bytes_ +
+               (kept_items_.empty() ? 0 : kept_bytes_);
+    }
+
     /// Sets a hook that is called whenever the store has acknowledged some
     /// bytes.
     void on_progress(std::function<void()> hook)
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -110,6 +110,35 @@
     return settings;
 }
 
+/// Interval of the log line and the metrics of the budget for callers.
+constexpr auto budget_report_interval = std::chrono::seconds(1);
+
+/// Share of the memory that may be held for callers: one of this many parts.
+constexpr std::size_t memory_divisor = 4;
+
+/// Descriptors that are kept for files, as the platform's page says.
+constexpr std::size_t file_descriptors = 200;
+
+/// Share of the other descriptors that is kept for connections to targets, the
+/// store, other entries and operators: one of this many parts.
+constexpr std::size_t own_connections_divisor = 4;
+
+http::budget_settings make_budget(const config::process_settings& settings)
+{
+    constexpr std::size_t bytes_in_mb = 1024UL * 1024;
+    http::budget_settings out;
+    if (settings.max_buffered_bytes != 0)
+        out.max_bytes = settings.max_buffered_bytes;
+    else if (settings.memory_mb != 0)
+        out.max_bytes = settings.memory_mb * bytes_in_mb / memory_divisor;
+    if (settings.max_descriptors > file_descriptors)
+    {
+        const auto n = settings.max_descriptors - file_descriptors;
+        out.max_connections = n - n / own_connections_divisor;
+    }
+    return out;
+}
+
 } // namespace
 
 entry_core::entry_core(boost::asio::io_context& context,
@@ -117,6 +146,8 @@
                        common::metrics_registry& metrics, core_parts parts)
     : context_(context), settings_(settings), metrics_(metrics),
       parts_(std::move(parts)),
+      caller_budget_(
+          std::make_shared<http::byte_budget>(make_budget(settings.process))),
       targets_(context,
                {settings.data_centre, settings.region, settings.regions},
                make_target_hooks()),
@@ -352,7 +383,60 @@
 void entry_core::run_checks(common::time_point now)
 {
     directory_.expire(now);
+    caller_budget_->run_checks(now);
     update_gauges();
+    report_budget(now);
+}
+
+void entry_core::report_budget(common::time_point now)
+{
+    if (now < next_budget_report_)
+        return;
+    next_budget_report_ = now + budget_report_interval;
+    const auto& budget = *caller_budget_;
+    for (std::size_t n = 0; n < http::held_kinds; ++n)
+    {
+        const auto kind = static_cast<http::held_kind>(n);
+        metrics_
+            .get_gauge("tanagertrack_caller_held_bytes",
+                       "bytes held for callers",
+                       {{"holder", http::to_string(kind)}})
+            .set(static_cast<std::int64_t>(budget.held_bytes(kind)));
+    }
+    metrics_
+        .get_gauge("tanagertrack_caller_connections",
+                   "open connections of callers")
+        .set(static_cast<std::int64_t>(budget.connections()));
+    std::uint64_t sum = 0;
+    std::array<std::uint64_t, http::cut_reasons> added{};
+    for (std::size_t n = 0; n < http::cut_reasons; ++n)
+    {
+        const auto reason = static_cast<http::cut_reason>(n);
+        added[n] = budget.cuts(reason) - reported_cuts_[n];
+        reported_cuts_[n] += added[n];
+        sum += added[n];
+        metrics_
+            .get_counter("tanagertrack_callers_cut_total",
+                         "requests refused and connections closed because the "
+                         "process held too much for its callers",
+                         {{"reason", http::to_string(reason)}})
+            .add(added[n]);
+    }
+    if (sum == 0)
+        return;
+    const auto count = [&added](http::cut_reason reason)
+    {
+        return added[static_cast<std::size_t>(reason)];
+    };
+    using http::cut_reason;
+    common::log_warning("callers_cut",
+                        {{"held_bytes", budget.held_bytes()},
+                         {"connections", budget.connections()},
+                         {"refused_body", count(cut_reason::refused_body)},
+                         {"no_progress", count(cut_reason::no_progress)},
+                         {"paused", count(cut_reason::paused)},
+                         {"unread_answer", count(cut_reason::unread_answer)},
+                         {"connections_full", count(cut_reason::connections)}});
 }
 
 bool entry_core::apply(const fleet::configuration_ptr& configuration)
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -17,13 +17,16 @@
 #include "config/settings.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/target_directory.hpp"
+#include "http/byte_budget.hpp"
 #include "online/environment.hpp"
 #include "peers/load_exchange.hpp"
 #include "quarantine/prompt_guard.hpp"
 #include "store/store_service.hpp"
 #include "targets/target_set.hpp"
 
+#include <array>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -92,6 +95,12 @@
         return directory_;
     }
 
+    /// Budget for what the process holds for callers.
+    const std::shared_ptr<http::byte_budget>& caller_budget()
+    {
+        return caller_budget_;
+    }
+
     const targets::target_set& targets() const
     {
         return targets_;
@@ -170,10 +179,17 @@
     peers::own_state own_state();
     void update_gauges();
 
+    /// Updates the metrics of the budget, and logs once per interval what was
+    /// refused and closed.
+    void report_budget(common::time_point now);
+
     boost::asio::io_context& context_;
     const config::settings& settings_;
     common::metrics_registry& metrics_;
     core_parts parts_;
+    std::shared_ptr<http::byte_budget> caller_budget_;
+    common::time_point next_budget_report_;
+    std::array<std::uint64_t, http::cut_reasons> reported_cuts_{};
     fleet::configuration_ptr configuration_;
     std::function<void(const fleet::configuration_ptr&)> on_configured_;
 
--- a/src/http/http_exchange.cpp
+++ b/src/http/http_exchange.cpp
@@ -39,6 +39,8 @@
             body += chunk;
         if (!ec && !end)
             return read_next();
+        if (ec)
+            body = {};
         std::exchange(handler, nullptr)(ec, std::move(body));
     }
 };
@@ -93,6 +95,18 @@
                     { state.max_body_bytes = max_bytes; });
 }
 
+void http_exchange::keep_body()
+{
+    post_to_session([](http_session&, request_state& state)
+                    { state.keeps_body = true; });
+}
+
+void http_exchange::set_held_bytes(std::size_t bytes)
+{
+    post_to_session([bytes](http_session& session, request_state& state)
+                    { session.set_held_bytes(state, bytes); });
+}
+
 void http_exchange::read_body(body_handler handler)
 {
     post_to_session([handler = std::move(handler)](http_session& session,
@@ -164,6 +178,7 @@
     std::function<void(std::error_code ec, std::string body)> handler)
 {
     exchange->limit_body(max_bytes);
+    exchange->keep_body();
     boost::intrusive_ptr<body_reader> reader(new body_reader);
     reader->exchange = exchange;
     reader->handler = std::move(handler);
--- a/src/http/http_exchange.hpp
+++ b/src/http/http_exchange.hpp
@@ -57,7 +57,16 @@
     /// with body_too_large. Call before `read_body`.
     void limit_body(std::uint64_t max_bytes);
 
-    /// Reads the next piece of the body. At most one call may be pending.
+    /// Declares that the pieces of the body are kept until the request ends, so
+    /// that they count as held. Call before `read_body`.
+    void keep_body();
+
+    /// Sets the number of bytes that the recipient of the body holds in other
+    /// ways, in place of the number set before.
+    void set_held_bytes(std::size_t bytes);
+
+    /// Reads the next piece of the body; fails with overloaded if the process
+    /// holds too much for its callers. At most one call may be pending.
     void read_body(body_handler handler);
 
     /// Sends a complete response. Must be the last call that sends anything.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "common/acceptor.hpp"
 #include "common/logging.hpp"
+#include "http/byte_budget.hpp"
 #include "http/http_session.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,11 @@
     {
     }
 
+    void use_budget(std::shared_ptr<byte_budget> budget)
+    {
+        budget_ = std::move(budget);
+    }
+
     std::error_code listen(const common::endpoint& local)
     {
         const auto ec = common::open_acceptor(acceptor_, local);
@@ -131,6 +137,13 @@
                                  {"connections", sessions_.size()}});
             return;
         }
+        if (budget_ != nullptr && !budget_->make_room_for_connection())
+        {
+            common::log_warning("connection_refused",
+                                {{"listener", settings_.name},
+                                 {"connections", budget_->connections()}});
+            return;
+        }
         // The session holds a reference to this object, because it uses the
         // settings.
         auto session = std::make_shared<http_session>(
@@ -138,6 +151,8 @@
             [self = shared_from_this()](http_session* it)
             { self->remove_session(it); },
             shared_state_);
+        if (budget_ != nullptr)
+            session->use_budget(budget_);
         sessions_.insert(session.get());
         connection_count_.store(sessions_.size());
         asio::co_spawn(context_, session->run(), asio::detached);
@@ -153,6 +168,7 @@
     http_settings settings_;
     request_handler handler_;
     tcp::acceptor acceptor_;
+    std::shared_ptr<byte_budget> budget_;
     std::unordered_set<http_session*> sessions_;
     std::atomic<std::size_t> connection_count_{0};
     http_session::server_state_ptr shared_state_ =
@@ -181,6 +197,11 @@
     return impl_->port();
 }
 
+void http_server::use_budget(std::shared_ptr<byte_budget> budget)
+{
+    impl_->use_budget(std::move(budget));
+}
+
 void http_server::stop_accepting()
 {
     impl_->stop_accepting();
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -18,6 +18,8 @@
 namespace tanagertrack::http
 {
 
+class byte_budget;
+
 /// Accepts HTTP/1.1 connections and passes their requests to a handler. Unless
 /// stated otherwise, calls are made on the thread of the io_context.
 class http_server
@@ -36,6 +38,10 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    /// Accounts for connections and what they hold in `budget`. Call before
+    /// `listen`.
+    void use_budget(std::shared_ptr<byte_budget> budget);
+
     /// Binds to `local` and starts accepting. Returns the error of the first
     /// step that failed. May also be called before the context's thread starts.
     std::error_code listen(const common::endpoint& local);
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -37,6 +37,21 @@
 /// Size of a body piece if the length of the body is unknown.
 constexpr std::size_t unsized_body_piece_bytes = 16 * 1024;
 
+/// Smallest size of a body piece. Pieces grow with what has been received, so
+/// that a caller that announces a large body and sends little holds little.
+constexpr std::size_t min_piece_bytes = 16 * 1024;
+
+/// Size of a read that discards what a caller still sends.
+constexpr std::size_t discard_bytes = 16 * 1024;
+
+/// Copies of a body that count as held: the body, and either the spare capacity
+/// of its string or its copy in the request to the target.
+constexpr std::size_t body_copies = 2;
+
+/// Copies of a head, besides that in the input buffer: the fields of the parser
+/// and those of the request.
+constexpr std::size_t head_copies = 2;
+
 /// Size of the read that waits for the next request, or for a disconnect while
 /// a response is being prepared.
 constexpr std::size_t monitor_bytes = 4096;
@@ -100,6 +115,96 @@
 {
 }
 
+http_session::~http_session()
+{
+    if (budget_ != nullptr)
+        budget_->remove(holder_);
+}
+
+void http_session::use_budget(std::shared_ptr<byte_budget> budget)
+{
+    error_code ec;
+    const auto peer = stream_.socket().remote_endpoint(ec);
+    budget_ = std::move(budget);
+    holder_.on_resume = [this]
+    {
+        wake_timer_.cancel();
+    };
+    holder_.on_cut = [this](cut_reason reason)
+    {
+        if (reason == cut_reason::connections)
+            close();
+        else
+            handle_cut();
+    };
+    budget_->add(holder_, ec ? std::string() : peer.address().to_string());
+}
+
+void http_session::handle_cut()
+{
+    // Nothing of a request was executed before its body is complete, so that it
+    // can be refused if the body is being read. The rest is closed.
+    if (!current_ || !current_->read_handler)
+        return close();
+    stream_.cancel();
+    wake_timer_.cancel();
+}
+
+void http_session::set_phase(holder_phase phase)
+{
+    if (budget_ != nullptr)
+        budget_->set_phase(holder_, phase);
+}
+
+void http_session::set_held(held_kind kind, std::size_t bytes)
+{
+    if (budget_ != nullptr)
+        budget_->set_held(holder_, kind, bytes);
+}
+
+void http_session::record_progress(std::size_t n)
+{
+    if (budget_ != nullptr)
+        budget_->record_progress(holder_, n);
+}
+
+void http_session::account_for_head()
+{
+    // The buffer of an idle connection does not count, so that connections
+    // alone don't use up the budget.
+    auto bytes = buffer_.capacity();
+    if (bytes <= monitor_bytes)
+        bytes = 0;
+    if (current_)
+        bytes += head_copies * current_->head_bytes;
+    set_held(held_kind::head, bytes);
+}
+
+void http_session::account_for_body(std::size_t piece_bytes)
+{
+    const auto kept =
+        current_->keeps_body ? body_copies * current_->body_bytes : 0;
+    set_held(held_kind::body, kept + piece_bytes);
+}
+
+void http_session::set_held_bytes(request_state& state, std::size_t bytes)
+{
+    if (!state.closed)
+        set_held(held_kind::upload, bytes);
+}
+
+asio::awaitable<bool> http_session::wait_for_budget(std::size_t n)
+{
+    while (budget_ != nullptr && !broken_ && !holder_.is_cut() &&
+           !budget_->may_read(holder_, n))
+    {
+        set_phase(holder_phase::held);
+        wake_timer_.expires_at(std::chrono::steady_clock::time_point::max());
+        co_await wait_for_wake();
+    }
+    co_return !broken_ && !holder_.is_cut();
+}
+
 asio::any_io_executor http_session::executor()
 {
     return stream_.get_executor();
@@ -141,15 +246,19 @@
         finish_request();
         if (unread)
             co_await discard_unread_body();
-        if (broken_ || !keep_alive_ || unread)
+        if (broken_ || !keep_alive_ || unread || holder_.is_cut())
             break;
         parser_.reset();
 
         // A pending monitor read writes to the buffer's memory.
         if (!monitor_read_pending_)
             buffer_.shrink_to_fit();
+        set_phase(holder_phase::head);
+        account_for_head();
     }
     stream_.close();
+    if (budget_ != nullptr)
+        budget_->remove(holder_);
     on_closed_(this);
 }
 
@@ -194,6 +303,7 @@
         {
             self->monitor_read_pending_ = false;
             self->buffer_.commit(n);
+            self->record_progress(n);
             self->broken_ = self->broken_ || ec.failed();
             self->wake_timer_.cancel();
         });
@@ -210,15 +320,45 @@
            message.count(bhttp::field::host) <= 1;
 }
 
+asio::awaitable<error_code> http_session::receive_head()
+{
+    const auto deadline =
+        std::chrono::steady_clock::now() + settings_.read_timeout;
+    error_code ec;
+    for (;;)
+    {
+        if (buffer_.size() != 0)
+            buffer_.consume(parser_->put(buffer_.data(), ec));
+        if (ec && ec != bhttp::error::need_more)
+            co_return ec;
+        if (parser_->is_header_done())
+            co_return error_code();
+        const auto room = buffer_.max_size() - buffer_.size();
+        if (room == 0)
+            co_return bhttp::error::buffer_overflow;
+        const bool may_read = co_await wait_for_budget(monitor_bytes);
+        if (!may_read)
+            co_return asio::error::operation_aborted;
+        set_phase(holder_phase::head);
+        stream_.expires_at(deadline);
+        const auto n = co_await stream_.async_read_some(
+            buffer_.prepare(std::min(room, monitor_bytes)),
+            asio::redirect_error(asio::use_awaitable, ec));
+        buffer_.commit(n);
+        record_progress(n);
+        account_for_head();
+        if (ec)
+            co_return ec;
+    }
+}
+
 asio::awaitable<bool> http_session::read_head()
 {
     parser_.emplace();
     parser_->header_limit(
         static_cast<std::uint32_t>(settings_.max_header_bytes));
     parser_->body_limit(boost::none);
-    stream_.expires_after(settings_.read_timeout);
-    auto [ec, n] = co_await bhttp::async_read_header(stream_, buffer_, *parser_,
-                                                     as_result);
+    auto ec = co_await receive_head();
     if (!ec && !has_unambiguous_framing())
         ec = bhttp::error::bad_transfer_encoding;
     if (!ec)
@@ -246,8 +386,12 @@
     auto& head = current_->head;
     head.method = message.method_string();
     head.target = message.target();
+    current_->head_bytes = head.target.size();
     for (const auto& it : message)
+    {
         head.headers.add(it.name_string(), it.value());
+        current_->head_bytes += it.name_string().size() + it.value().size();
+    }
     head.request_id = common::random_id();
     head.content_length = parser_->content_length().value_or(0);
     current_->body_complete = parser_->is_done();
@@ -255,6 +399,9 @@
         beast::iequals(message[bhttp::field::expect], "100-continue");
     keep_alive_ = message.keep_alive();
     chunked_ = false;
+    account_for_head();
+    set_phase(current_->body_complete ? holder_phase::running
+                                      : holder_phase::held);
 }
 
 bool http_session::peer_uses_http_1_1() const
@@ -313,8 +460,9 @@
     const auto length = current_->head.content_length;
     if (length == 0)
         return unsized_body_piece_bytes;
-    return std::min<std::uint64_t>(max_piece_bytes,
-                                   length - current_->body_bytes);
+    const auto most = std::clamp<std::uint64_t>(
+        current_->body_bytes, min_piece_bytes, max_piece_bytes);
+    return std::min<std::uint64_t>(most, length - current_->body_bytes);
 }
 
 asio::awaitable<bool> http_session::send_continue()
@@ -332,11 +480,21 @@
     if (state->head.content_length > state->max_body_bytes)
         co_return complete_read(make_error_code(result_code::body_too_large),
                                 {}, false);
+    const auto piece_bytes = next_piece_bytes();
+    const bool admitted =
+        budget_ == nullptr || state->body_bytes != 0 ||
+        budget_->admits_body(holder_, state->head.content_length);
+    const bool may_read = admitted && co_await wait_for_budget(piece_bytes);
+    if (!may_read)
+        co_return complete_read(make_error_code(result_code::overloaded), {},
+                                false);
     const bool continues = co_await send_continue();
     if (!continues)
         co_return;
 
-    std::string piece(next_piece_bytes(), '\0');
+    std::string piece(piece_bytes, '\0');
+    set_phase(holder_phase::body);
+    account_for_body(piece_bytes);
     auto& body = parser_->get().body();
     body.data = piece.data();
     body.size = piece.size();
@@ -354,10 +512,19 @@
             stream_, buffer_, *parser_,
             asio::redirect_error(asio::use_awaitable, ec));
     }
+    parse_received(ec);
     state->reading_time += std::chrono::steady_clock::now() - started;
     piece.resize(piece.size() - body.size);
     state->body_bytes += piece.size();
     state->body_complete = parser_->is_done();
+    record_progress(piece.size());
+    account_for_body(0);
+    account_for_head();
+    set_phase(state->body_complete ? holder_phase::running
+                                   : holder_phase::held);
+    if (holder_.is_cut() && !state->body_complete)
+        co_return complete_read(make_error_code(result_code::overloaded), {},
+                                false);
 
     if (state->body_bytes > state->max_body_bytes)
         co_return complete_read(make_error_code(result_code::body_too_large),
@@ -377,6 +544,20 @@
                   {}, false);
 }
 
+void http_session::parse_received(error_code& ec)
+{
+    auto& body = parser_->get().body();
+    while (!ec && !parser_->is_done() && body.size != 0 && buffer_.size() != 0)
+    {
+        const auto n = parser_->put(buffer_.data(), ec);
+        buffer_.consume(n);
+        if (n == 0 && !ec)
+            break;
+    }
+    if (ec == bhttp::error::need_more)
+        ec = {};
+}
+
 void http_session::add_step(request_state& state, answer_step step)
 {
     if (state.closed || state.answered)
@@ -389,6 +570,11 @@
     }
     state.answered =
         step.type != step_kind::start && step.type != step_kind::piece;
+    // Who has answered has released the body.
+    if (state.answered)
+        set_held(held_kind::body, 0);
+    queued_answer_bytes_ += step.data.size();
+    set_held(held_kind::answer, queued_answer_bytes_);
     state.steps.push_back(std::move(step));
     wake_timer_.cancel();
 }
@@ -481,7 +667,14 @@
             handlers.push_back(std::move(step.handler));
         aborted = aborted || step.type == step_kind::abort;
     }
+    queued_answer_bytes_ = out.size();
+    set_phase(holder_phase::answer);
+    set_held(held_kind::answer, queued_answer_bytes_);
     const bool written = co_await write_all(out);
+    queued_answer_bytes_ -= out.size();
+    set_held(held_kind::answer, queued_answer_bytes_);
+    set_phase(state->body_complete ? holder_phase::running
+                                   : holder_phase::held);
     const auto ec = written ? std::error_code()
                             : make_error_code(result_code::connection_lost);
     for (auto& it : handlers)
@@ -506,6 +699,7 @@
         const auto [ec, n] = co_await stream_.async_write_some(
             asio::buffer(data.data(), data.size()), as_result);
         data.remove_prefix(n);
+        record_progress(n);
         broken_ = broken_ || ec.failed();
     }
     co_return !broken_;
@@ -516,7 +710,7 @@
     error_code ignored;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     buffer_.clear();
-    std::string discarded(max_piece_bytes, '\0');
+    std::string discarded(discard_bytes, '\0');
     std::size_t total = 0;
     stream_.expires_after(max_discard_time);
     while (total < max_discarded_bytes)
@@ -547,6 +741,10 @@
     const auto state = std::exchange(current_, nullptr);
     --server_->requests_in_progress;
     state->closed = true;
+    queued_answer_bytes_ = 0;
+    set_held(held_kind::body, 0);
+    set_held(held_kind::upload, 0);
+    set_held(held_kind::answer, 0);
     const auto lost = make_error_code(result_code::connection_lost);
     const bool complete = state->answered && state->steps.empty() && !broken_;
     if (auto handler = std::exchange(state->read_handler, nullptr))
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERTRACK_HTTP_HTTP_SESSION_HPP
 #define TANAGERTRACK_HTTP_HTTP_SESSION_HPP
 
+#include "http/byte_budget.hpp"
 #include "http/http_exchange.hpp"
 #include "http/http_settings.hpp"
 #include "http/request_state.hpp"
@@ -53,6 +54,13 @@
                  const http_settings& settings, request_handler handler,
                  std::function<void(http_session*)> on_closed,
                  server_state_ptr server);
+    ~http_session();
+
+    http_session(const http_session&) = delete;
+    http_session& operator=(const http_session&) = delete;
+
+    /// Accounts for what the connection holds in `budget`. Call before `run`.
+    void use_budget(std::shared_ptr<byte_budget> budget);
 
     /// Processes requests until the connection ends.
     boost::asio::awaitable<void> run();
@@ -75,6 +83,9 @@
     /// Reads the next piece of the body for `handler`; see http_exchange.
     void read_body(request_state& state, http_exchange::body_handler handler);
 
+    /// Sets the bytes that the recipient of the body holds; see http_exchange.
+    void set_held_bytes(request_state& state, std::size_t bytes);
+
     /// Queues a step of the response for writing.
     void add_step(request_state& state, answer_step step);
 
@@ -99,6 +110,26 @@
     boost::asio::awaitable<void> discard_unread_body();
     boost::asio::awaitable<void> refuse(common::result_code code);
 
+    /// Receives and parses the head of a request.
+    boost::asio::awaitable<boost::system::error_code> receive_head();
+
+    /// Waits until the budget lets `n` more bytes be read. Returns false if the
+    /// connection was given up.
+    boost::asio::awaitable<bool> wait_for_budget(std::size_t n);
+
+    /// Parses what has been received of the body into the piece `body`, so that
+    /// small chunks cost no reads and pieces of their own.
+    void parse_received(boost::system::error_code& ec);
+
+    void set_phase(holder_phase phase);
+    void set_held(held_kind kind, std::size_t bytes);
+    void record_progress(std::size_t n);
+
+    /// Accounts for the input buffer and, with a request, its head.
+    void account_for_head();
+    void account_for_body(std::size_t piece_bytes);
+    void handle_cut();
+
     /// Waits until `wake_timer_` expires or is cancelled.
     boost::asio::awaitable<void> wait_for_wake();
 
@@ -128,6 +159,11 @@
     boost::asio::steady_timer wake_timer_;
     boost::beast::flat_buffer buffer_;
 
+    /// Budget for the bytes held for all callers; may be nullptr.
+    std::shared_ptr<byte_budget> budget_;
+    byte_budget::holder holder_;
+    std::size_t queued_answer_bytes_ = 0;
+
     // State of the current request.
     std::optional<parser> parser_;
     std::shared_ptr<request_state> current_;
--- a/src/http/request_state.hpp
+++ b/src/http/request_state.hpp
@@ -35,6 +35,9 @@
 {
     request_head head;
 
+    /// Size of the request target and the header fields.
+    std::size_t head_bytes = 0;
+
     /// Runs handlers; if empty, they are called directly.
     http_exchange::handler_executor executor;
 
@@ -47,6 +50,9 @@
     std::chrono::steady_clock::duration reading_time{};
     bool body_complete = false;
 
+    /// True if the recipient keeps the body until the end of the request.
+    bool keeps_body = false;
+
     /// Steps of the response that are not yet written.
     std::deque<answer_step> steps;
 
