Spend what is left of a team's bucket at any entry, and fit limits to a window

Change: while at most one in ten entries is late, what is left of the bucket may be spent by any entry, less what the others may have spent unseen; the slack stays with the shares. teams.quota_window_s turns half of the burst into a higher rate, so that no window holds more than before.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -187,6 +187,9 @@
                  "age of the configuration above which requests that need a "
                  "team's key are refused, because it may have been revoked; 0: "
                  "no bound");
+    table.add_seconds("teams.quota_window_s", values.quota_window, 0, 3600,
+                      "any window of this length may hold a team's rate and "
+                      "burst; 0: the burst refills at the rate only");
 }
 
 void add_error_unless(std::vector<setting_error>& errors, std::string_view file,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -124,6 +124,10 @@
     /// Maximum age of the view of the configuration with which a request that
     /// needs a key is sent to a target; 0: no bound.
     std::chrono::milliseconds max_view_age{0};
+
+    /// Window in which a team may send its rate and burst; 0: its burst refills
+    /// at its rate.
+    std::chrono::milliseconds quota_window{0};
 };
 
 /// Planned stop.
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -686,7 +686,8 @@
     std::unordered_map<std::uint64_t, teams::quota_limit> limits;
     limits.reserve(configuration_->teams().size());
     for (const auto& it : configuration_->teams())
-        limits[teams::team_key(it.name)] = {it.requests_per_second, it.burst};
+        limits[teams::team_key(it.name)] = teams::fit_to_window(
+            {it.requests_per_second, it.burst}, settings_.teams.quota_window);
     priorities_.clear();
     for (const auto& it : configuration_->teams())
         priorities_[teams::team_key(it.name)] = it.priority.value_or(0);
--- a/src/teams/fleet_quota.cpp
+++ b/src/teams/fleet_quota.cpp
@@ -49,6 +49,15 @@
 /// own part is less than one request.
 constexpr double cut_off_margin = 0.8;
 
+/// Part of the burst that a window turns into a higher rate. The other part
+/// admits requests that arrive together.
+constexpr double burst_part_for_rate = 0.5;
+
+/// Requests are admitted ahead of the allowance while at most one in this many
+/// entries is late with its message. A single entry that has ended would
+/// otherwise cost requests of all teams until it counts as unreachable.
+constexpr std::size_t late_share = 10;
+
 /// Overhead of an element of a hash table, in bytes.
 constexpr std::size_t node_overhead = 32;
 
@@ -59,6 +68,15 @@
     return common::hash64(name);
 }
 
+quota_limit fit_to_window(quota_limit limit, milliseconds window)
+{
+    const double seconds = std::chrono::duration<double>(window).count();
+    if (seconds <= 0 || limit.requests_per_second <= 0)
+        return limit;
+    const double moved = limit.burst * burst_part_for_rate;
+    return {limit.requests_per_second + moved / seconds, limit.burst - moved};
+}
+
 fleet_quota::fleet_quota(std::string member, quota_settings settings,
                          time_point started)
     : member_(std::move(member)), settings_(settings), started_at_(started),
@@ -143,6 +161,7 @@
         return;
     refreshed_at_ = now;
     auto oldest = now;
+    std::size_t late = 0;
     std::vector<std::uint32_t> silent;
     for (std::uint32_t i = 0; i < entries_.size(); ++i)
     {
@@ -152,8 +171,12 @@
         if (now - it.heard_at > settings_.silence)
             silent.push_back(i);
         else
+        {
             oldest = std::min(oldest, it.heard_at);
+            late += now - it.heard_at > settings_.max_age_ahead ? 1 : 0;
+        }
     }
+    hears_most_ = late * late_share <= reachable_;
     if (!silent.empty())
         handle_silence(silent, now);
     const auto delay =
@@ -521,9 +544,11 @@
     // that happen to meet at one entry.
     const double max_ahead = std::max(
         min_ahead, share * part.rate * seconds(settings_.ahead).count());
-    const bool ahead = now - confirmed_at_ <= settings_.max_age_ahead &&
-                       state.allowance >= 1 - max_ahead &&
-                       state.level + part.slack >= 1 + unseen(state, now);
+    // The slack is only spent by entries that keep close to their allowance;
+    // what is left of the bucket itself may be spent by any of them.
+    const double slack = state.allowance >= 1 - max_ahead ? part.slack : 0;
+    const bool ahead =
+        hears_most_ && state.level + slack >= 1 + unseen(state, now);
     const bool permitted = state.allowance >= 1 || ahead ||
                            (!settings_.bound_unseen && state.level >= 1);
     if (permitted &&
--- a/src/teams/fleet_quota.hpp
+++ b/src/teams/fleet_quota.hpp
@@ -32,6 +32,12 @@
     double burst = 0;
 };
 
+/// Returns a limit that admits a higher steady rate with a smaller burst, and
+/// no more requests in any `window`. A load that stays above its rate would
+/// otherwise be refused down to the rate once the burst is spent, although the
+/// windows have room left. A window of 0 changes nothing.
+quota_limit fit_to_window(quota_limit limit, std::chrono::milliseconds window);
+
 /// Constants of the decision. All guards can be switched off, so that tests can
 /// show that each of them is needed.
 struct quota_settings
@@ -58,9 +64,9 @@
     double slack_of_burst = 0.05;
     double slack = 13;
 
-    /// Longest time since all entries were heard in which requests are admitted
-    /// ahead of the own share, and the time of the own part of the rate that
-    /// can be spent ahead. It is paid back within a window of 5 s.
+    /// Longest time since most entries were heard in which requests are
+    /// admitted ahead of the own share, and the time of the own part of the
+    /// rate that can be spent ahead. It is paid back within a window of 5 s.
     std::chrono::milliseconds max_age_ahead{600};
     std::chrono::milliseconds ahead{3000};
 
@@ -334,6 +340,9 @@
 
     /// Time up to which all reachable entries have been heard.
     common::time_point confirmed_at_;
+
+    /// True while at most a few reachable entries are late with their message.
+    bool hears_most_ = true;
     common::time_point refreshed_at_;
     std::size_t reachable_ = 1;
     double admitted_by_all_ = 0;
--- a/test/teams/test_fleet_quota.cpp
+++ b/test/teams/test_fleet_quota.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 
 using namespace tanagertrack;
+using namespace std::chrono_literals;
 using namespace tanagertrack::test;
 using teams::quota_limit;
 using teams::quota_settings;
@@ -469,4 +470,19 @@
     }
 }
 
+// Guards against a limit for which some window could hold more than the rate
+// and the burst of the team.
+BOOST_AUTO_TEST_CASE(limit_fits_the_window)
+{
+    const auto it = teams::fit_to_window({50, 40}, 5s);
+    BOOST_TEST(it.requests_per_second == 54);
+    BOOST_TEST(it.burst == 20);
+    BOOST_TEST(it.requests_per_second * 5 + it.burst == 50 * 5 + 40);
+
+    const auto unchanged = teams::fit_to_window({50, 40}, 0s);
+    BOOST_TEST(unchanged.requests_per_second == 50);
+    BOOST_TEST(unchanged.burst == 40);
+    BOOST_TEST(teams::fit_to_window({0, 40}, 5s).requests_per_second == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
