--- a/src/teams/fleet_quota.hpp
+++ b/src/teams/fleet_quota.hpp
@@ -67,7 +67,7 @@
     /// Longest time since most entries were heard in which requests are
     /// admitted ahead of the own share, and the time of the own part of the
     /// rate that can be spent ahead. It is paid back within a window of 5 s.
-    std::chrono::milliseconds max_age_ahead{600};
+    std::chrono::milliseconds max_age_ahead{500};
     std::chrono::milliseconds ahead{3000};
 
     /// Part of the shares that is divided equally, whatever the demand.
