--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -484,7 +484,9 @@
     const bool admitted =
         budget_ == nullptr || state->body_bytes != 0 ||
         budget_->admits_body(holder_, state->head.content_length);
-    const bool may_read = admitted && co_await wait_for_budget(piece_bytes);
+    bool may_read = false;
+    if (admitted)
+        may_read = co_await wait_for_budget(piece_bytes);
     if (!may_read)
         co_return complete_read(make_error_code(result_code::overloaded), {},
                                 false);
