Split admission of teams, capacity learning and budget report from the core

Change: entry/team_admission holds the quota, the fair share and the rejection report, entry/capacity_learning the table of capacities with its timer, log line and metrics, and entry/budget_report the metrics and the log line of the budget. entry_core keeps the objects and calls them. The checks of routing.capacity are in capacity_learning, so that the core sets the same hooks in both cases.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -21,10 +21,10 @@
     /// Memory of the host in MB.
     std::size_t memory_mb = 0;
 
-    /// Bytes held for callers; 0: derived from `memory_mb`.
+    /// Maximum bytes held for callers; 0: derived from `memory_mb`.
     std::size_t max_buffered_bytes = 0;
 
-    /// Open descriptors.
+    /// Maximum number of open descriptors.
     std::size_t max_descriptors = 0;
 };
 
@@ -118,7 +118,7 @@
     std::uint32_t default_burst = 100;
 };
 
-/// Keys of teams.
+/// Keys and limits of teams.
 struct team_settings
 {
     /// Maximum age of the view of the configuration with which a request that
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <memory>
 #include <random>
 #include <string>
@@ -37,17 +36,6 @@
 /// to a distrusted one: a late answer is better than a refusal.
 constexpr auto distrust_cost = milliseconds(400);
 
-/// Interval at which the capacities of targets are computed.
-constexpr auto capacity_interval = milliseconds(250);
-
-/// Maximum number of targets with metrics of their capacity, the first ones by
-/// id.
-constexpr std::size_t max_capacity_gauges = 200;
-
-/// Longest wait of a request of a team within its fair share, as a multiple of
-/// that of other requests. Such a request is late because of others.
-constexpr double max_wait_within_share = 2;
-
 routing::random_below make_random()
 {
     const auto engine =
@@ -72,6 +60,11 @@
     return settings;
 }
 
+bool learns_capacity(const config::settings& values)
+{
+    return values.routing.capacity == "learned";
+}
+
 peers::exchange_settings exchange_settings(const config::settings& values)
 {
     peers::exchange_settings settings;
@@ -143,13 +136,10 @@
     return settings;
 }
 
-/// Interval of the log line and the metrics of the budget for callers.
-constexpr auto budget_report_interval = std::chrono::seconds(1);
-
 /// Share of the memory that may be held for callers: one of this many parts.
 constexpr std::size_t memory_divisor = 4;
 
-/// Descriptors that are kept for files, as the platform's page says.
+/// Descriptors that are kept for files, as the platform's documentation says.
 constexpr std::size_t file_descriptors = 200;
 
 /// Share of the other descriptors that is kept for connections to targets, the
@@ -179,10 +169,10 @@
                        common::metrics_registry& metrics, core_parts parts)
     : context_(context), settings_(settings), metrics_(metrics),
       parts_(std::move(parts)),
-      capacity_timer_(context, capacity_interval,
-                      [this] { refresh_capacities(); }),
       caller_budget_(
           std::make_shared<http::byte_budget>(make_budget(settings.process))),
+      budget_report_(metrics, *caller_budget_),
+      capacities_(context, metrics, targets_, learns_capacity(settings)),
       targets_(context,
                {settings.data_centre, settings.region, settings.regions},
                make_target_hooks()),
@@ -192,18 +182,17 @@
                  common::random_id().substr(0, member_suffix_length)),
       guard_(context, metrics, parts_.store, parts_.quarantine_topic,
              member_id_, make_guard_hooks()),
-      quota_(member_id_, {}, common::clock::now()),
-      rejections_(metrics), online_{context,
-                                    online_settings_,
-                                    parts_.protocol,
-                                    targets_,
-                                    placement_,
-                                    random_,
-                                    [this](targets::target& target)
-                                    { runner_.preempt_one(target); },
-                                    [this](const routing::prompt& prompt)
-                                    { return guard_.time_refused(prompt); },
-                                    make_caller_hooks()},
+      teams_(metrics, member_id_, settings.teams.quota_window, random_),
+      online_{context,
+              online_settings_,
+              parts_.protocol,
+              targets_,
+              placement_,
+              random_,
+              [this](targets::target& target) { runner_.preempt_one(target); },
+              [this](const routing::prompt& prompt)
+              { return guard_.time_refused(prompt); },
+              teams_.make_hooks()},
       batch_settings_(batch_settings(settings)),
       jobs_(context, parts_.store, job_settings(settings, member_id_)),
       texts_(context, parts_.store, text_settings(settings, member_id_)),
@@ -248,7 +237,7 @@
         [this](const std::string& id, fleet::departure_reason reason)
     {
         if (const auto* target = targets_.find(id))
-            capacities_.remove_target(target->key());
+            capacities_.remove_target(*target);
         targets_.remove(id);
         common::log_info("target_departed",
                          {{"target", id}, {"why", to_string(reason)}});
@@ -275,19 +264,13 @@
                           {"result", to_string(attempt.result)}})
             .add();
         guard_.handle_attempt_end(target, attempt);
-        if (learns_capacity() && attempt.head_received &&
-            attempt.result == targets::attempt_result::not_run)
-            capacities_.add_refusal(target.key(),
-                                    target.load.reported.running +
-                                        target.load.reported.waiting,
-                                    common::clock::now());
+        capacities_.handle_attempt_end(target, attempt);
+    };
+    hooks.on_timing = [this](const targets::target& target,
+                             const routing::target_timing& timing)
+    {
+        capacities_.handle_timing(target, timing);
     };
-    if (learns_capacity())
-        hooks.on_timing = [this](targets::target& target,
-                                 const routing::target_timing& timing)
-        {
-            capacities_.add_timing(target.key(), timing);
-        };
     hooks.on_leaving = [this](targets::target& target)
     {
         // The id may belong to a later start of the target by now.
@@ -333,55 +316,20 @@
     };
     hooks.read_team_uses = [this](std::size_t max)
     {
-        return quota_.take_uses(max, common::clock::now());
+        return teams_.quota().take_uses(max, common::clock::now());
     };
     hooks.on_team_uses = [this](const std::string& member,
                                 const std::vector<teams::team_use>& uses)
     {
-        quota_.handle_message(member, uses, common::clock::now());
+        teams_.quota().handle_message(member, uses, common::clock::now());
     };
-    if (!learns_capacity())
-        return hooks;
     hooks.take_capacity_news = [this](std::size_t n)
     {
-        return capacities_.take_news(n, common::clock::now());
+        return capacities_.take_news(n);
     };
     hooks.on_capacity_news = [this](const routing::capacity_news& news)
     {
-        capacities_.add_news(news, common::clock::now());
-    };
-    return hooks;
-}
-
-online::caller_hooks entry_core::make_caller_hooks()
-{
-    online::caller_hooks hooks;
-    hooks.admit = [this](const online::call& call)
-        -> std::optional<online::admission_refusal>
-    {
-        if (call.team.empty())
-            return std::nullopt;
-        const auto wait =
-            quota_.try_admit(teams::team_key(call.team), common::clock::now());
-        if (!wait)
-        {
-            rejections_.count_admitted(call.team);
-            return std::nullopt;
-        }
-        const auto code = common::result_code::rate_limited;
-        rejections_.count_rejected(call.team, code);
-        return online::admission_refusal{
-            code, std::chrono::ceil<milliseconds>(*wait)};
-    };
-    hooks.give_back = [this](const online::call& call)
-    {
-        if (!call.team.empty())
-            quota_.give_back(teams::team_key(call.team));
-    };
-    hooks.share = [this](const online::call& call,
-                         std::chrono::duration<double, std::milli> wait)
-    {
-        return share_targets(call, wait);
+        capacities_.add_news(news);
     };
     return hooks;
 }
@@ -442,11 +390,11 @@
         if (member.departed)
         {
             load_exchange_.remove_peer(member.id);
-            quota_.remove_entry(member.id);
+            teams_.quota().remove_entry(member.id);
             return;
         }
         load_exchange_.add_peer(member.id, {member.address, member.port});
-        quota_.add_entry(member.id, common::clock::now());
+        teams_.quota().add_entry(member.id, common::clock::now());
     };
     listener.on_loaded = [this]
     {
@@ -455,9 +403,9 @@
             {
                 load_exchange_.add_peer(member.id,
                                         {member.address, member.port});
-                quota_.add_entry(member.id, common::clock::now());
+                teams_.quota().add_entry(member.id, common::clock::now());
             });
-        quota_.set_entries_known();
+        teams_.quota().set_entries_known();
     };
     return listener;
 }
@@ -476,8 +424,7 @@
             "peer_listen_failed",
             {{"address", to_string(address)}, {"what", ec.message()}});
     guard_.start();
-    if (learns_capacity())
-        capacity_timer_.start();
+    capacities_.start();
     jobs_.start();
     runner_.start();
     membership_.start();
@@ -494,64 +441,11 @@
 void entry_core::run_checks(common::time_point now)
 {
     directory_.expire(now);
-    quota_.expire(now);
-    report_teams(now);
+    teams_.run_checks(now);
     caller_budget_->run_checks(now);
     update_gauges();
-    report_budget(now);
-    if (learns_capacity())
-        update_capacity_gauges();
-}
-
-void entry_core::report_budget(common::time_point now)
-{
-    if (now < next_budget_report_)
-        return;
-    next_budget_report_ = now + budget_report_interval;
-    const auto& budget = *caller_budget_;
-    for (std::size_t n = 0; n < http::held_kinds; ++n)
-    {
-        const auto kind = static_cast<http::held_kind>(n);
-        metrics_
-            .get_gauge("tanagertrack_caller_held_bytes",
-                       "bytes held for callers",
-                       {{"holder", http::to_string(kind)}})
-            .set(static_cast<std::int64_t>(budget.held_bytes(kind)));
-    }
-    metrics_
-        .get_gauge("tanagertrack_caller_connections",
-                   "open connections of callers")
-        .set(static_cast<std::int64_t>(budget.connections()));
-    std::uint64_t sum = 0;
-    std::array<std::uint64_t, http::cut_reasons> added{};
-    for (std::size_t n = 0; n < http::cut_reasons; ++n)
-    {
-        const auto reason = static_cast<http::cut_reason>(n);
-        added[n] = budget.cuts(reason) - reported_cuts_[n];
-        reported_cuts_[n] += added[n];
-        sum += added[n];
-        metrics_
-            .get_counter("tanagertrack_callers_cut_total",
-                         "requests refused and connections closed because the "
-                         "process held too much for its callers",
-                         {{"reason", http::to_string(reason)}})
-            .add(added[n]);
-    }
-    if (sum == 0)
-        return;
-    const auto count = [&added](http::cut_reason reason)
-    {
-        return added[static_cast<std::size_t>(reason)];
-    };
-    using http::cut_reason;
-    common::log_warning("callers_cut",
-                        {{"held_bytes", budget.held_bytes()},
-                         {"connections", budget.connections()},
-                         {"refused_body", count(cut_reason::refused_body)},
-                         {"no_progress", count(cut_reason::no_progress)},
-                         {"paused", count(cut_reason::paused)},
-                         {"unread_answer", count(cut_reason::unread_answer)},
-                         {"connections_full", count(cut_reason::connections)}});
+    budget_report_.write(now);
+    capacities_.update_gauges();
 }
 
 bool entry_core::apply(const fleet::configuration_ptr& configuration)
@@ -563,152 +457,13 @@
                      {{"version", configuration_->version()},
                       {"routes", configuration_->routes().size()},
                       {"services", configuration_->services().size()}});
-    update_team_limits();
+    teams_.apply(configuration_);
     if (on_configured_)
         on_configured_(configuration_);
     runner_.schedule_start();
     return true;
 }
 
-bool entry_core::learns_capacity() const
-{
-    return settings_.routing.capacity == "learned";
-}
-
-void entry_core::refresh_capacities()
-{
-    targets_.for_each(
-        [this](targets::target& it)
-        {
-            capacities_.add_target(it.key(), it.announced().services.front(),
-                                   it.load.slots, it.announced().started_ms);
-        });
-    capacities_.refresh(common::clock::now(),
-                        [this](const routing::capacity_change& change)
-                        { log_capacity_change(change); });
-    targets_.for_each(
-        [this](targets::target& it)
-        { it.load.capacity = capacities_.estimate_of(it.key()); });
-}
-
-void entry_core::log_capacity_change(
-    const routing::capacity_change& change) const
-{
-    targets_.for_each(
-        [&](const targets::target& it)
-        {
-            if (it.key() == change.target)
-                common::log_info("target_speed_changed",
-                                 {{"target", it.id()},
-                                  {"relative_time", change.after},
-                                  {"before", change.before},
-                                  {"error", change.error},
-                                  {"periods", change.periods},
-                                  {"knee", change.knee}});
-        });
-}
-
-void entry_core::update_capacity_gauges()
-{
-    std::size_t n = 0;
-    targets_.for_each(
-        [&](const targets::target& it)
-        {
-            if (++n > max_capacity_gauges)
-                return;
-            const auto set =
-                [&](std::string_view name, std::string_view help, double value)
-            {
-                metrics_.get_gauge(name, help, {{"target", it.id()}})
-                    .set(std::llround(value));
-            };
-            const auto& capacity = it.load.capacity;
-            constexpr double permille = 1000;
-            constexpr double percent = 100;
-            set("tanagertrack_target_relative_time_permille",
-                "time of the target's work; 1000: as the median target",
-                capacity.relative_time * permille);
-            set("tanagertrack_target_knee",
-                "requests from which throughput no longer grows; 0: unknown",
-                capacity.knee);
-            set("tanagertrack_target_confidence_percent",
-                "confidence in the relative time",
-                capacity.confidence * percent);
-        });
-}
-
-online::wait_decision
-entry_core::share_targets(const online::call& call,
-                          std::chrono::duration<double, std::milli> wait)
-{
-    if (call.team.empty() || call.route->objective.count() == 0)
-        return {};
-    using seconds = std::chrono::duration<double>;
-    const auto now = common::clock::now();
-    const auto key = teams::team_key(call.team);
-    if (const auto it = priorities_.find(key); it != priorities_.end())
-        it->second = call.priority;
-    fair_share_.handle_wait(seconds(wait).count(),
-                            seconds(call.route->objective).count());
-    if (fair_share_.is_due(now))
-        update_fair_share(now);
-    if (!fair_share_.is_active())
-        return {};
-    constexpr std::size_t resolution = 1'000'000;
-    const auto kept = static_cast<std::size_t>(fair_share_.kept_share(key) *
-                                               static_cast<double>(resolution));
-    if (random_(resolution) >= kept)
-    {
-        rejections_.count_rejected(call.team, common::result_code::overloaded);
-        return {.is_refused = true};
-    }
-    return {.max_wait = max_wait_within_share};
-}
-
-void entry_core::update_fair_share(common::time_point now)
-{
-    std::vector<teams::team_demand> demand;
-    if (fair_share_.needs_demand())
-        quota_.for_each_demand(
-            now,
-            [&](std::uint64_t team, double per_s)
-            {
-                const auto priority = priorities_.find(team);
-                demand.push_back(
-                    {team, priority == priorities_.end() ? 0 : priority->second,
-                     per_s});
-            });
-    fair_share_.update(demand, quota_.admitted_by_all(), now);
-}
-
-void entry_core::update_team_limits()
-{
-    std::unordered_map<std::uint64_t, teams::quota_limit> limits;
-    limits.reserve(configuration_->teams().size());
-    for (const auto& it : configuration_->teams())
-        limits[teams::team_key(it.name)] = teams::fit_to_window(
-            {it.requests_per_second, it.burst}, settings_.teams.quota_window);
-    priorities_.clear();
-    for (const auto& it : configuration_->teams())
-        priorities_[teams::team_key(it.name)] = it.priority.value_or(0);
-    quota_.set_limits(std::move(limits), common::clock::now());
-}
-
-void entry_core::report_teams(common::time_point now)
-{
-    rejections_.write(now,
-                      [&](std::string_view name)
-                      {
-                          const auto* team =
-                              configuration_
-                                  ? configuration_->find_team_named(name)
-                                  : nullptr;
-                          return teams::rejection_report::team_numbers{
-                              team ? team->requests_per_second : 0,
-                              quota_.demand(teams::team_key(name), now)};
-                      });
-}
-
 void entry_core::update_gauges()
 {
     const auto counts = runner_.counts();
--- a/src/entry/entry_core.hpp
+++ b/src/entry/entry_core.hpp
@@ -14,29 +14,22 @@
 #include "batch/runner.hpp"
 #include "batch/text_store.hpp"
 #include "common/metrics.hpp"
-#include "common/periodic_timer.hpp"
 #include "config/settings.hpp"
+#include "entry/budget_report.hpp"
+#include "entry/capacity_learning.hpp"
+#include "entry/team_admission.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/target_directory.hpp"
 #include "http/byte_budget.hpp"
 #include "online/environment.hpp"
 #include "peers/load_exchange.hpp"
 #include "quarantine/prompt_guard.hpp"
-#include "routing/capacity_table.hpp"
 #include "store/store_service.hpp"
 #include "targets/target_set.hpp"
-#include "teams/fair_share.hpp"
-#include "teams/fleet_quota.hpp"
-#include "teams/rejection_report.hpp"
 
-#include <chrono>
-#include <cstdint>
-
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <utility>
 
 namespace tanagertrack::entry
@@ -180,21 +173,6 @@
     quarantine::guard_hooks make_guard_hooks();
     peers::exchange_hooks make_exchange_hooks();
 
-    /// Returns the online decisions on callers that the core itself takes.
-    online::caller_hooks make_caller_hooks();
-
-    /// Decides on a request of a team with an estimated wait.
-    online::wait_decision
-    share_targets(const online::call& call,
-                  std::chrono::duration<double, std::milli> wait);
-    void update_fair_share(common::time_point now);
-
-    /// Passes the limits of the teams in the configuration to the quota.
-    void update_team_limits();
-
-    /// Logs what was rejected.
-    void report_teams(common::time_point now);
-
     /// Returns a listener that adds members that join to the peers of the load
     /// exchange, and removes those that depart.
     batch::job_listener make_member_listener();
@@ -203,32 +181,17 @@
     peers::own_state own_state();
     void update_gauges();
 
-    /// Returns true if the capacities of targets are learned.
-    bool learns_capacity() const;
-
-    /// Computes the capacities of all targets anew and writes them into the
-    /// targets' loads.
-    void refresh_capacities();
-    void log_capacity_change(const routing::capacity_change& change) const;
-    void update_capacity_gauges();
-
-    /// Updates the metrics of the budget, and logs once per interval what was
-    /// refused and closed.
-    void report_budget(common::time_point now);
-
     boost::asio::io_context& context_;
     const config::settings& settings_;
     common::metrics_registry& metrics_;
     core_parts parts_;
     std::shared_ptr<http::byte_budget> caller_budget_;
-    common::time_point next_budget_report_;
-    std::array<std::uint64_t, http::cut_reasons> reported_cuts_{};
+    budget_report budget_report_;
     fleet::configuration_ptr configuration_;
     std::function<void(const fleet::configuration_ptr&)> on_configured_;
 
     // Targets.
-    routing::capacity_table capacities_;
-    common::periodic_timer capacity_timer_;
+    capacity_learning capacities_;
     targets::target_set targets_;
     fleet::target_directory directory_;
     routing::random_below random_;
@@ -238,13 +201,8 @@
     std::string member_id_;
     quarantine::prompt_guard guard_;
 
-    // Limits of teams.
-    teams::fleet_quota quota_;
-    teams::fair_share fair_share_;
-    std::unordered_map<std::uint64_t, std::uint32_t> priorities_;
-    teams::rejection_report rejections_;
-
     // Online requests.
+    team_admission teams_;
     online::online_settings online_settings_;
     online::environment online_;
 
--- a/src/http/byte_budget.cpp
+++ b/src/http/byte_budget.cpp
@@ -94,7 +94,7 @@
         connections_ < settings_.max_connections)
         return true;
 
-    // The one that has been without progress for the longest time, of the
+    // Chooses the connection without progress for the longest time, of the
     // address with the most connections.
     holder* chosen = nullptr;
     int compared = 0;
@@ -283,8 +283,8 @@
     }
     left = cut_down(stalled, left, low_bytes_, cut_reason::no_progress);
 
-    // Bodies that are paused go on when something has become free. Otherwise
-    // nobody else can free anything.
+    // Paused bodies resume once other holders have released enough. They are
+    // cut only if no other holder is left that can be.
     if (left > low_bytes_)
         cut_down(paused, left, low_bytes_, cut_reason::paused);
 }
--- a/src/http/byte_budget.hpp
+++ b/src/http/byte_budget.hpp
@@ -136,12 +136,12 @@
         std::size_t bytes_ = 0;
         std::size_t wanted_ = 0;
 
-        /// Bytes moved since the begin of the current interval.
+        /// Bytes moved since the start of the current interval.
         std::size_t progress_ = 0;
         groups::value_type* group_ = nullptr;
         holder_phase phase_ = holder_phase::head;
 
-        /// True if the holder was there at the begin of the interval, in its
+        /// True if the holder was there at the start of the interval, in its
         /// current phase.
         bool was_observed_ = false;
         bool is_paused_ = false;
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -570,7 +570,7 @@
     }
     state.answered =
         step.type != step_kind::start && step.type != step_kind::piece;
-    // Who has answered has released the body.
+    // The recipient no longer uses the body once it has answered.
     if (state.answered)
         set_held(held_kind::body, 0);
     queued_answer_bytes_ += step.data.size();
--- a/src/routing/capacity_table.cpp
+++ b/src/routing/capacity_table.cpp
@@ -26,7 +26,7 @@
 /// Relative times beyond this factor are taken as errors of measurement.
 const double max_log_time = std::log(8);
 
-/// Factor between two relative times that are told as a change, as a
+/// Factor between two relative times that is reported as a change, as a
 /// logarithm, and the time for which the difference must last.
 const double min_change = std::log(1.25);
 constexpr auto min_change_time = milliseconds(3000);
@@ -64,13 +64,13 @@
     }
     auto& state = services_[std::string(service)];
     targets_.try_emplace(target, state, slots, started_ms);
-    turn_.push_back(target);
+    opinion_order_.push_back(target);
 }
 
 void capacity_table::remove_target(std::uint32_t target)
 {
     targets_.erase(target);
-    std::erase(turn_, target);
+    std::erase(opinion_order_, target);
     std::erase(changed_, target);
 }
 
@@ -204,7 +204,7 @@
                             common::time_point now)
 {
     const double current = it.estimate.relative_time;
-    if (std::abs(std::log(current / it.told)) < min_change)
+    if (std::abs(std::log(current / it.reported)) < min_change)
     {
         it.differs_since.reset();
         return std::nullopt;
@@ -214,7 +214,7 @@
     if (now - *it.differs_since < min_change_time)
         return std::nullopt;
     it.differs_since.reset();
-    const double before = std::exchange(it.told, current);
+    const double before = std::exchange(it.reported, current);
     return capacity_change{key,
                            before,
                            current,
@@ -253,14 +253,15 @@
     if (now - last_opinion_ < opinion_interval)
         return out;
     last_opinion_ = now;
-    for (std::size_t i = 0; i < turn_.size() && out.size() < n; ++i)
+    for (std::size_t i = 0; i < opinion_order_.size() && out.size() < n; ++i)
     {
-        next_in_turn_ = (next_in_turn_ + 1) % turn_.size();
-        const auto& it = targets_.at(turn_[next_in_turn_]);
+        last_in_order_ = (last_in_order_ + 1) % opinion_order_.size();
+        const auto& it = targets_.at(opinion_order_[last_in_order_]);
         if (it.estimate.relative_time == 1 && it.estimate.knee == 0)
             continue;
-        out.push_back({turn_[next_in_turn_], it.estimate.relative_time, 0, 0,
-                       it.estimate.knee, milliseconds(0)});
+        out.push_back({opinion_order_[last_in_order_],
+                       it.estimate.relative_time, 0, 0, it.estimate.knee,
+                       milliseconds(0)});
         break;
     }
     return out;
--- a/src/routing/capacity_table.hpp
+++ b/src/routing/capacity_table.hpp
@@ -53,7 +53,7 @@
     double slowdown = 0;
 };
 
-/// Evidence or opinion on a target, as it is sent to other entries.
+/// Evidence on a target, or an opinion (estimate), as sent to other entries.
 struct capacity_news
 {
     std::uint32_t target = 0;
@@ -167,13 +167,13 @@
         capacity_estimate estimate;
         unsent_evidence unsent;
 
-        /// Relative time of the last change that was told, and the time since
-        /// which the estimate differs from it.
-        double told = 1;
+        /// Relative time of the last reported change, and the time since which
+        /// the estimate differs from it.
+        double reported = 1;
         std::optional<common::time_point> differs_since;
     };
 
-    /// Notes a time in which this entry did not run.
+    /// Detects from `now` a time in which this entry did not run.
     void note_stall(common::time_point now);
     void update_estimate(target_state& it, common::time_point now) const;
     static std::optional<capacity_change>
@@ -185,9 +185,9 @@
     /// Targets with unsent evidence, the oldest first.
     std::deque<std::uint32_t> changed_;
 
-    /// Targets on which opinions are sent in turn.
-    std::vector<std::uint32_t> turn_;
-    std::size_t next_in_turn_ = 0;
+    /// Targets on which opinions are sent in turn, and the index of the last.
+    std::vector<std::uint32_t> opinion_order_;
+    std::size_t last_in_order_ = 0;
     common::time_point last_opinion_;
 
     std::optional<common::time_point> last_refresh_;
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -80,7 +80,7 @@
 
 /// Chooses a target for each online request and batch item from the known loads
 /// of the targets. Capacities that were learned are part of the load; without
-/// them all targets are taken for equally fast. Keeps no load itself and has no
+/// them all targets are assumed equally fast. Keeps no load itself and has no
 /// clock of its own: loads and the current time are passed in. Not thread-safe.
 class placement
 {
--- a/src/routing/target_capacity.hpp
+++ b/src/routing/target_capacity.hpp
@@ -81,11 +81,11 @@
     /// which enough evidence is known.
     void add_hint(double log_time, std::uint32_t knee, common::time_point now);
 
-    /// Estimates the speed.
+    /// Returns the speed; without `periods` it is unknown.
     speed estimate_speed(common::time_point now) const;
 
-    /// Estimates the knee. `slope` is the increase of the service's time for
-    /// each further request, relative to that of an idle target.
+    /// Returns the knee, 0 if unknown. `slope` is the increase of the service's
+    /// time for each further request, relative to that of an idle target.
     std::uint32_t estimate_knee(double slope, common::time_point now) const;
 
 private:
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -208,12 +208,12 @@
     std::optional<std::uint64_t> last_event_;
     unsigned status_ = 0;
 
-    /// Begin of the current measurement of the time between events, and the
+    /// Start of the current measurement of the time between events, and the
     /// events since then, including the first one.
     common::time_point measured_from_;
     unsigned measured_events_ = 0;
 
-    /// Running requests at the begin of the measurement.
+    /// Running requests at the start of the measurement.
     double measured_running_ = 0;
 
     /// Slowdown that the response reports; 0 if it does not.
--- a/src/teams/fair_share.cpp
+++ b/src/teams/fair_share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace tanagertrack::teams
--- a/src/teams/fair_share.hpp
+++ b/src/teams/fair_share.hpp
@@ -6,7 +6,6 @@
 #include <chrono>
 #include <cstdint>
 #include <limits>
-#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -58,7 +57,7 @@
     {
     }
 
-    /// Takes note of the estimated wait of a request. Sharing begins with a
+    /// Records the estimated wait of a request. Sharing begins with a
     /// wait above the objective of its route.
     void handle_wait(double wait_s, double objective_s);
 
--- a/src/teams/view_age.hpp
+++ b/src/teams/view_age.hpp
@@ -34,7 +34,7 @@
 
     /// Returns true if callers with a key should be sent to this process. They
     /// are sent elsewhere before `permits_keys` returns false, because it takes
-    /// some time until they stop to arrive.
+    /// some time until they stop arriving.
     bool permits_new_callers(time_point now) const;
 
     /// Returns true if a key that is not known here is known to be invalid,
