--- a/src/fleet/configuration.hpp
+++ b/src/fleet/configuration.hpp
@@ -131,9 +131,8 @@
     double burst = 0;
 };
 
-/// Returns a 128-bit hash of a team's key. It differs between processes, so
-/// that neither logs nor memory dumps hold anything that another process
-/// accepts.
+/// Returns a 128-bit hash of a team's key, with a random seed of the process:
+/// the time of a look-up says nothing of how much of a key is right.
 std::string hash_team_key(std::string_view key);
 
 /// Size and time limits for the requests of callers.
