--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -90,63 +90,6 @@
         .status();
 }
 
-/// Watches an entry as the platform does: a process that exceeds the memory of
-/// its machine is killed, and started again.
-class platform_watch
-{
-public:
-    platform_watch(entry& of, record& log)
-        : entry_(of), log_(log), thread_([this] { run(); })
-    {
-    }
-
-    ~platform_watch()
-    {
-        stop_ = true;
-        thread_.join();
-    }
-
-    int ends() const
-    {
-        return ends_;
-    }
-
-    int peak_mb() const
-    {
-        return peak_mb_;
-    }
-
-private:
-    void run()
-    {
-        for (; !stop_; std::this_thread::sleep_for(20ms))
-        {
-            const bool ended = !entry_.is_running();
-            const int mb = ended ? 0 : entry_.resident_mb();
-            peak_mb_ = std::max<int>(peak_mb_, mb);
-            if (!ended && mb <= entry_.memory_mb())
-                continue;
-            log_.line(entry_.name() +
-                      (ended ? " has ended by itself"
-                             : " uses " + std::to_string(mb) + " MB of the " +
-                                   std::to_string(entry_.memory_mb()) +
-                                   " MB of its machine, and is killed"));
-            if (!ended)
-                entry_.kill(SIGKILL);
-            ++ends_;
-            std::this_thread::sleep_for(500ms);
-            entry_.start();
-        }
-    }
-
-    entry& entry_;
-    record& log_;
-    std::atomic<bool> stop_{false};
-    std::atomic<int> ends_{0};
-    std::atomic<int> peak_mb_{0};
-    std::thread thread_;
-};
-
 int play(record& log, const std::string& folder)
 {
     const char* option = std::getenv("TROUBLE");
--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -981,16 +981,16 @@
         return false;
     }
 
-    /// Returns the resident memory of the process in MB of 2^20 bytes.
+    /// Resident memory of the process, now and at its peak, in MB of 2^20
+    /// bytes.
     int resident_mb() const
     {
-        std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
-        for (std::string text; std::getline(file, text);)
-        {
-            if (text.starts_with("VmRSS:"))
-                return std::atoi(text.c_str() + 6) / 1024;
-        }
-        return 0;
+        return read_status("VmRSS:");
+    }
+
+    int peak_mb() const
+    {
+        return read_status("VmHWM:");
     }
 
     int front() const
@@ -1009,6 +1009,17 @@
     }
 
 private:
+    int read_status(const std::string& name) const
+    {
+        std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+        for (std::string text; std::getline(file, text);)
+        {
+            if (text.starts_with(name))
+                return std::atoi(text.c_str() + name.size()) / 1024;
+        }
+        return 0;
+    }
+
     entry_settings settings_;
     std::string file_;
     int front_;
@@ -1018,6 +1029,66 @@
     pid_t pid_ = -1;
 };
 
+/// Watches an entry as the platform does: a process that exceeds the memory of
+/// its machine is killed, and started again.
+class platform_watch
+{
+public:
+    platform_watch(entry& of, record& log,
+                   std::chrono::milliseconds restart_delay = 500ms)
+        : entry_(of), log_(log), restart_delay_(restart_delay),
+          thread_([this] { run(); })
+    {
+    }
+
+    ~platform_watch()
+    {
+        stop_ = true;
+        thread_.join();
+    }
+
+    int ends() const
+    {
+        return ends_;
+    }
+
+    int peak_mb() const
+    {
+        return peak_mb_;
+    }
+
+private:
+    void run()
+    {
+        for (; !stop_; std::this_thread::sleep_for(20ms))
+        {
+            const bool ended = !entry_.is_running();
+            const int mb = ended ? 0 : entry_.peak_mb();
+            peak_mb_ = std::max<int>(peak_mb_, mb);
+            if (!ended && mb <= entry_.memory_mb())
+                continue;
+            log_.line(entry_.name() +
+                      (ended ? " has ended by itself"
+                             : " has used " + std::to_string(mb) + " MB of the " +
+                                   std::to_string(entry_.memory_mb()) +
+                                   " MB of its machine, and is killed"));
+            if (!ended)
+                entry_.kill(SIGKILL);
+            ++ends_;
+            std::this_thread::sleep_for(restart_delay_);
+            entry_.start();
+        }
+    }
+
+    entry& entry_;
+    record& log_;
+    std::chrono::milliseconds restart_delay_;
+    std::atomic<bool> stop_{false};
+    std::atomic<int> ends_{0};
+    std::atomic<int> peak_mb_{0};
+    std::thread thread_;
+};
+
 /// A configuration with the routes of a small deployment: calls under /calls/,
 /// batch jobs under /jobs/.
 inline std::string configuration(std::uint64_t max_waiting_tokens)
