--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
-// Many callers send chunked bodies in very small chunks, stop just short of
-// their end and stay open. Their heads are of legal size and have many fields.
+// An engine in trouble sends bytes without end in place of the answers to batch
+// items.
 
 #include "../standin-2/standin.hpp"
 
@@ -8,86 +8,43 @@
 namespace
 {
 
-/// Size of a head: `maxHeaderBytes` is 16,384.
-constexpr std::size_t head_bytes = 16'000;
+constexpr int jobs = 6;
+constexpr int items_per_job = 10;
 
-/// Connections of the crowd at each entry at a time; the descriptors of the
-/// machine allow for 8,200.
-constexpr int crowd_size = 1000;
+/// Time for which one of the three engines is in trouble.
+constexpr auto trouble_time = 5s;
+constexpr auto finish_time = 18s;
 
-/// Bytes of a body, each in a chunk of its own; the last chunk is not sent.
-constexpr int body_bytes = 500;
-
-/// Ends of a process that count (RULES.md, "Faults"): three at each of two
-/// machines.
-constexpr int counted_ends = 3;
-
-/// Returns a head with as many short fields as fit.
-std::string make_head()
+struct submitted_job
 {
-    std::string head = "POST /calls/1 HTTP/1.1\r\nHost: a.example\r\n"
-                       "X-Tanagertrack-Request-Id: " +
-                       random_id() +
-                       "\r\nX-Tanagertrack-Deadline-Ms: 3000\r\n"
-                       "Transfer-Encoding: chunked\r\n";
-    const std::string_view letters = "abcdefghijklmnopqrstuvwxyz0123456789";
-    for (std::size_t n = 0; head.size() + 7 < head_bytes; ++n)
-    {
-        head += letters[n % letters.size()];
-        head += letters[n / letters.size() % letters.size()];
-        head += ":\r\n";
-    }
-    return head + "\r\n";
-}
+    std::string id = random_id();
+    std::vector<std::string> items;
+    int status = 0;
+};
 
-/// Opens the connections of the crowd and keeps them until it is destroyed.
-class crowd
+void submit(submitted_job& job, const entry& at)
 {
-public:
-    explicit crowd(int port)
-    {
-        std::string body;
-        for (int n = 0; n < body_bytes; ++n)
-            body += "1\r\nx\r\n";
-        for (int n = 0; n < crowd_size; ++n)
-        {
-            const int fd =
-                connect_to(port, "127.0.1." + std::to_string(1 + n % 200));
-            if (fd < 0)
-                break;
-            sockets_.push_back(fd);
-            if (!send_all(fd, make_head() + body))
-                break;
-        }
-    }
-
-    crowd(const crowd&) = delete;
-    crowd& operator=(const crowd&) = delete;
-
-    ~crowd()
+    json::array items;
+    for (int n = 0; n < items_per_job; ++n)
     {
-        for (const int fd : sockets_)
-            ::close(fd);
+        job.items.push_back(random_id());
+        items.push_back(json::object{
+            {"id", job.items.back()},
+            {"path", "/jobs/" + std::to_string(n)},
+            {"headers",
+             json::object{{"X-Tanagertrack-Model", "m"},
+                          {"X-Tanagertrack-Token-Usage", "350,120"},
+                          {"X-Tanagertrack-Prompt-Prefix",
+                           random_id() + ":100," + random_id() + ":250"}}},
+            {"body", base64("summary " + std::to_string(n))},
+            {"tokenCount", 470}});
     }
-
-    std::size_t size() const
-    {
-        return sockets_.size();
-    }
-
-private:
-    std::vector<int> sockets_;
-};
-
-/// One ordinary call; returns its status.
-int call_once(const entry& at)
-{
-    return call(at.front(), "POST", "/calls/1",
-                {{"Host", "a.example"},
-                 {"X-Tanagertrack-Request-Id", random_id()},
-                 {"X-Tanagertrack-Deadline-Ms", "3000"}},
-                "label", 3s)
-        .status();
+    job.status = call(at.front(), "POST", "/jobs/" + job.id,
+                      {{"Host", "a.example"},
+                       {"X-Tanagertrack-Request-Id", job.id},
+                       {"X-Tanagertrack-Deadline-Ms", "4000"}},
+                      json::serialize(json::object{{"items", items}}))
+                     .status();
 }
 
 int play(record& log, const std::string& folder)
@@ -98,50 +55,64 @@
     // The stand-ins stay in use until the process ends.
     auto& platform = *new store();
     platform.put("keyed.op", "config", configuration(2'600'000));
-    new heartbeats(platform, {new engine("i-app-1", "app", 0, 0ms)});
-    std::vector<std::unique_ptr<entry>> entries;
-    for (int n = 1; n <= 2; ++n)
-    {
-        entries.push_back(std::make_unique<entry>(
-            platform, entry_settings{"front-za-" + std::to_string(n)}, folder));
-        entries.back()->start();
-    }
-    for (const auto& it : entries)
+    constexpr unsigned events = 20;
+    std::vector<engine*> engines;
+    for (int n = 1; n <= 3; ++n)
+        engines.push_back(
+            new engine("i-lm-" + std::to_string(n), "lm", events, 20ms));
+    new heartbeats(platform, engines);
+    entry one(platform, {"front-za-1"}, folder);
+    one.start();
+    if (!one.wait_until_ready(15s))
+        throw cannot_run("the entry does not become ready");
+
+    engines.front()->set_endless(trouble);
+    std::vector<submitted_job> all(jobs);
+    for (auto& it : all)
     {
-        if (!it->wait_until_ready(15s))
-            throw cannot_run(it->name() + " does not become ready");
+        submit(it, one);
+        log.line("job " + it.id + " with " + std::to_string(items_per_job) +
+                 " items: " + std::to_string(it.status));
+        if (it.status != 202)
+            throw cannot_run("a job was not accepted");
     }
-
-    std::vector<std::unique_ptr<platform_watch>> watches;
-    for (const auto& it : entries)
-        watches.push_back(std::make_unique<platform_watch>(*it, log));
-    for (int round = 1; round <= counted_ends; ++round)
+    std::this_thread::sleep_for(trouble_time);
+    engines.front()->set_endless(false);
+    std::this_thread::sleep_for(finish_time);
+    log.line("answers without end: " +
+             std::to_string(engines.front()->endless_answers()) +
+             "; no engine has answered an item with 422 or 500");
+
+    int listed = 0;
+    int wrong = 0;
+    for (const auto& job : all)
     {
-        std::vector<std::unique_ptr<crowd>> crowds;
-        for (const auto& it : entries)
+        const auto answer =
+            call(one.front(), "GET", "/tanagertrack/lots/" + job.id + "?after=0",
+                 {{"Host", "a.example"}}, {});
+        if (answer.status() != 200)
+            throw cannot_run("a job can't be read");
+        const auto page = json::parse(answer.body);
+        for (const auto& it : page.at("results").as_array())
         {
-            if (!it->wait_until_ready(15s))
-                throw cannot_run(it->name() + " does not become ready");
-            log.line("ordinary call at " + it->name() + ": " +
-                     std::to_string(call_once(*it)));
-            if (!trouble)
+            ++listed;
+            const std::string id(it.at("id").as_string());
+            const std::string state(it.at("state").as_string());
+            std::string expected;
+            for (unsigned n = 0; n < events; ++n)
+                expected += (n == 0 ? "" : "\n") + id + "-" + std::to_string(n);
+            if (state == "succeeded" && it.at("text").as_string() == expected)
                 continue;
-            crowds.push_back(std::make_unique<crowd>(it->front()));
-            log.line("crowd at " + it->name() + ": " +
-                     std::to_string(crowds.back()->size()) + " connections");
+            ++wrong;
+            log.line("item " + id + " of job " + job.id + ": " + state + ", " +
+                     std::to_string(it.at("text").as_string().size()) +
+                     " bytes of text");
         }
-        std::this_thread::sleep_for(3s);
-    }
-    bool broken = true;
-    for (std::size_t n = 0; n < entries.size(); ++n)
-    {
-        log.line(entries[n]->name() + ": peak " +
-                 std::to_string(watches[n]->peak_mb()) + " MB, ended " +
-                 std::to_string(watches[n]->ends()) + " times");
-        broken = broken && watches[n]->ends() >= counted_ends;
     }
-    watches.clear();
-    return broken ? 1 : 0;
+    log.line(std::to_string(listed) + " of " +
+             std::to_string(jobs * items_per_job) + " items listed, " +
+             std::to_string(wrong) + " of them dead_lettered or wrong");
+    return wrong == 0 ? 0 : 1;
 }
 
 } // namespace
--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -794,6 +794,19 @@
         return begun_;
     }
 
+    /// While set, the engine answers with bytes that are no answer, without
+    /// end, until the caller closes the connection.
+    void set_endless(bool endless)
+    {
+        endless_ = endless;
+    }
+
+    /// Answers without end that the engine has begun.
+    int endless_answers() const
+    {
+        return endless_answers_;
+    }
+
     std::string announcement(int sequence) const
     {
         return json::serialize(json::object{
@@ -820,6 +833,8 @@
         if (!expected.empty() && expected != id_)
             return respond(fd, "421 Misdirected Request",
                            "X-Tanagertrack-Not-Executed: 1\r\n" + common, "");
+        if (endless_)
+            return send_endlessly(fd, id);
         ++begun_;
         ++active_;
         const bool ok = events_ == 0 ? respond(fd, "200 OK", common, "ok " + id)
@@ -828,6 +843,27 @@
         return ok;
     }
 
+    /// Sends a head without a stamp, and events that have nothing to do with the
+    /// request, at about 2 MB a second.
+    bool send_endlessly(int fd, const std::string& id)
+    {
+        ++endless_answers_;
+        bool open = send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: "
+                                 "text/event-stream\r\n"
+                                 "X-Tanagertrack-Request-Id: " +
+                                     id + "\r\n\r\n");
+        for (int n = 0; open;)
+        {
+            std::string data;
+            for (const int end = n + 100; n < end; ++n)
+                data += "id: " + std::to_string(n) + "\ndata: " +
+                        std::string(80, '\x7f') + "\n\n";
+            open = send_all(fd, data);
+            std::this_thread::sleep_for(5ms);
+        }
+        return false;
+    }
+
     bool stream(const message& request, int fd, const std::string& id,
                 const std::string& common) const
     {
@@ -858,6 +894,8 @@
     std::int64_t born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                              std::chrono::system_clock::now().time_since_epoch())
                              .count();
+    std::atomic<bool> endless_{false};
+    std::atomic<int> endless_answers_{0};
     std::atomic<int> active_{0};
     std::atomic<int> begun_{0};
     server server_;
