Count a success as an answer only if its target has signed it

Cause: a response was accepted by its request id alone. A target in trouble that sent a head of status 200 without X-Tanagertrack-Server-Stamp was taken at its word, and its bytes became the text of the item, the answer to a call, or events of a stream.

Change: a success without a signature is answer_kind::invalid and ends the attempt as failed at its head. All ways use targets::attempt: calls, streams, continued streams, items and calls that run once.

The platform test that reads a job's results sent unsigned events; its target now signs them, as the platform's targets do.

--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -115,10 +115,11 @@
     last_progress_ = common::clock::now();
     const auto kind =
         protocol_.classify(head, {request_.request_id, first_on_connection_});
-    if (kind == answer_kind::foreign)
+    if (kind == answer_kind::foreign || kind == answer_kind::invalid)
         return finish({outcome::failed, 0,
                        make_error_code(result_code::protocol_error),
-                       "foreign_answer"});
+                       kind == answer_kind::foreign ? "foreign_answer"
+                                                    : "invalid_answer"});
 
     if (auto report = protocol_.read_load(head))
     {
--- a/src/targets/protocol.hpp
+++ b/src/targets/protocol.hpp
@@ -58,7 +58,11 @@
     replaced,
 
     /// Response to another request, or to none.
-    foreign
+    foreign,
+
+    /// Bytes that don't count as a response, for example a success without the
+    /// signature that each target adds. The request may have run.
+    invalid
 };
 
 /// Request and connection to which a response is matched.
--- a/test/platform/test_front.cpp
+++ b/test/platform/test_front.cpp
@@ -253,7 +253,7 @@
             chunked_head(200,
                          "X-Tanagertrack-Request-Id: " +
                              field_of(request, "X-Tanagertrack-Request-Id") +
-                             "\r\n") +
+                             "\r\nX-Tanagertrack-Server-Stamp: st\r\n") +
             chunk(event(1, "one")) + chunk(event(2, "two")) + chunk("")};
     };
     const auto submitted =
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -159,11 +159,19 @@
         std::pair<std::string, std::string>{"X-Tanagertrack-Request-Id", "id0"};
     const auto not_run =
         std::pair<std::string, std::string>{"X-Tanagertrack-Not-Executed", "1"};
+    const auto stamp = std::pair<std::string, std::string>{
+        "X-Tanagertrack-Server-Stamp", "st"};
     const targets::answer_context fresh{"id1", true};
     const targets::answer_context used{"id1", false};
     const auto& classify = protocol.classify;
-    BOOST_TEST((classify(answer_with(200, {id}), used) == answer_kind::answer));
+    BOOST_TEST(
+        (classify(answer_with(200, {id, stamp}), used) == answer_kind::answer));
     BOOST_TEST((classify(answer_with(500, {id}), used) == answer_kind::answer));
+
+    // A success without a signature is no answer of the target.
+    for (const unsigned status : {200, 204, 299})
+        BOOST_TEST((classify(answer_with(status, {id}), used) ==
+                    answer_kind::invalid));
     BOOST_TEST(
         (classify(answer_with(200, {other}), used) == answer_kind::foreign));
     BOOST_TEST((classify(answer_with(200, {}), fresh) == answer_kind::foreign));
