Let only signed failures of targets decide that an item is dead

An item was given up (dead_lettered) after one response of status 422, or after maxAttempts of status 500, that no target had signed: a target in trouble decided on items that two sound targets could do.

Cause: the decision after an attempt looked at the status only.

Change: attempt_end says whether the response was signed. An unsigned failure counts as an attempt without an answer and changes nothing in the target's health, neither as a failure nor as a success. Calls still relay it: the protocol asks for a signature of successes only. The body of an error answer no longer resets the pauses between an item's attempts.

Evidence: platform_invalid_answers/item_is_not_given_up_for_an_unsigned_failure failed before with 422.

--- a/src/batch/attempt_decision.cpp
+++ b/src/batch/attempt_decision.cpp
@@ -45,7 +45,8 @@
                                       failure_kind kind,
                                       std::uint32_t max_failures)
 {
-    if (end.result == outcome::complete)
+    // A failure that the target has not signed says nothing about the item.
+    if (end.result == outcome::complete && end.is_signed)
         return decide_after_answer(item, end.status, kind, max_failures);
     const bool was_sent = end.result != outcome::not_run;
     if (was_sent && item.data.not_repeatable())
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -514,14 +514,16 @@
     hooks.on_piece =
         [item](std::string_view piece, std::optional<std::uint64_t> event)
     {
+        // A piece without a number belongs to a response that is not a stream.
+        // In a stream it is no part of the text: it is the body of an error
+        // response, or no event.
+        if (!event && !item->data.whole_answer())
+            return;
         item->broken_attempts = 0;
         item->refused_attempts = 0;
         if (!event)
         {
-            // A piece of a response that is not a stream, or of the body of an
-            // error response.
-            if (item->data.whole_answer())
-                item->text += piece;
+            item->text += piece;
             return;
         }
         if (item->events++ != 0)
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -131,6 +131,7 @@
     }
     status_ = head.status;
     answered_ = true;
+    signed_ = kind == answer_kind::answer;
     replaced_ = kind == answer_kind::replaced;
     if (!replaced_ && protocol_.is_leaving(head))
         destination_->hooks().on_leaving(*destination_);
@@ -203,7 +204,7 @@
         return finish({outcome::failed, status_,
                        make_error_code(result_code::connection_lost),
                        "no_events"});
-    finish({outcome::complete, status_, {}, "complete"});
+    finish({outcome::complete, status_, {}, "complete", signed_});
 }
 
 void attempt::finish(attempt_end end)
@@ -232,9 +233,9 @@
     if (end.result == outcome::not_run && !sent_)
         return destination_->record_failure(target_failure::unreachable);
 
-    // A refusal, or a server error that the request itself may have caused,
-    // changes nothing.
-    if (end.result == outcome::complete && status_ < http::first_server_error)
+    // A refusal, a server error that the request itself may have caused, and an
+    // answer that may not be the target's change nothing.
+    if (end.is_signed && status_ < http::first_server_error)
         destination_->record_success();
 }
 
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -78,6 +78,9 @@
 
     /// Short name of the result, for logs and error messages.
     std::string_view reason;
+
+    /// True if the response certainly comes from the target.
+    bool is_signed = false;
 };
 
 /// Callbacks of an attempt. `on_end` is called exactly once, after all other
@@ -245,6 +248,9 @@
     /// True if the response has no length and ends with its connection.
     bool ends_with_connection_ = false;
 
+    /// True if the head of the response has the target's signature.
+    bool signed_ = false;
+
     /// True if the body is passed on event by event.
     bool splits_events_ = false;
     bool ended_ = false;
--- a/test/batch/test_decisions.cpp
+++ b/test/batch/test_decisions.cpp
@@ -22,6 +22,7 @@
     targets::attempt_end end;
     end.result = result;
     end.status = status;
+    end.is_signed = result == outcome::complete;
     return end;
 }
 
@@ -48,6 +49,27 @@
     BOOST_TEST((decide(200, failure_kind::transient).end == proto::ITEM_DONE));
 }
 
+// Guards against an item that fails for good on the word of bytes that its
+// target may not have sent, and against a second run of one that must run at
+// most once.
+BOOST_AUTO_TEST_CASE(unsigned_failure_does_not_end_an_item)
+{
+    for (const auto failure : {failure_kind::permanent, failure_kind::counted})
+    {
+        batch::item_run item;
+        auto end = make_end(outcome::complete, 422);
+        end.is_signed = false;
+        const auto decide = [&]
+        {
+            return batch::decide_after_attempt(item, end, failure, 1);
+        };
+        BOOST_TEST(!decide().end.has_value());
+        BOOST_TEST(item.failures == 0);
+        item.data.set_not_repeatable(true);
+        BOOST_TEST((decide().end == proto::ITEM_UNKNOWN));
+    }
+}
+
 // Guards against a second run of an item that must run at most once.
 BOOST_AUTO_TEST_CASE(non_repeatable_item_that_may_have_run_ends_as_unknown)
 {
--- a/test/platform/test_invalid_answers.cpp
+++ b/test/platform/test_invalid_answers.cpp
@@ -81,6 +81,29 @@
         return answer;
     }
 
+    /// Submits a job of three items and checks that the target in trouble gets
+    /// some of them and that the results of all come from the sound one.
+    void check_items_are_done_by_the_sound_target(const std::string& id = "j1")
+    {
+        const auto items = item("i1") + ',' + item("i2") + ',' + item("i3");
+        const auto submitted =
+            send_request(post("/b/" + id, job_body(items), id), "\r\n\r\n{}");
+        BOOST_REQUIRE(submitted.starts_with("HTTP/1.1 202 "));
+        BOOST_REQUIRE(
+            run_until(context,
+                      [&]
+                      {
+                          const auto* job = core->jobs().table().find(id);
+                          return job != nullptr && job->results.size() == 3;
+                      }));
+        const auto page =
+            send_request(get("/tanagertrack/lots/" + id + "?after=0"), "}]}");
+        BOOST_TEST(!engine.requests.empty());
+        BOOST_TEST(!contains(page, "bad"));
+        BOOST_TEST(!contains(page, "dead_lettered"));
+        BOOST_TEST(contains(page, R"("text":"sound1\nsound2\nsound3")"));
+    }
+
     scripted_server sound_engine{context};
 };
 
@@ -138,23 +161,36 @@
 // its result or as a failure.
 BOOST_AUTO_TEST_CASE(unsigned_answer_to_an_item_is_replaced_by_another_target)
 {
-    const auto submitted = send_request(
-        post("/b/j1",
-             job_body(item("i1") + ',' + item("i2") + ',' + item("i3")), "j1"),
-        "\r\n\r\n{}");
-    BOOST_TEST(submitted.starts_with("HTTP/1.1 202 "));
-    BOOST_REQUIRE(
-        run_until(context,
-                  [&]
-                  {
-                      const auto* job = core->jobs().table().find("j1");
-                      return job != nullptr && job->results.size() == 3;
-                  }));
-    const auto page = send_request(get("/tanagertrack/lots/j1?after=0"), "}]}");
-    BOOST_TEST(!engine.requests.empty());
-    BOOST_TEST(!contains(page, "bad"));
-    BOOST_TEST(!contains(page, "dead_lettered"));
-    BOOST_TEST(contains(page, R"("text":"sound1\nsound2\nsound3")"));
+    check_items_are_done_by_the_sound_target();
+}
+
+// Guards against an item that is given up on the word of a target in trouble.
+// The route permits two failures.
+BOOST_AUTO_TEST_CASE(item_is_not_given_up_for_an_unsigned_failure)
+{
+    for (const unsigned status : {422, 500})
+    {
+        engine.make_answer = [status](const std::string& request)
+        {
+            return scripted_answer{
+                whole_answer(status, "bad", id_line(request))};
+        };
+        check_items_are_done_by_the_sound_target("j" + std::to_string(status));
+    }
+}
+
+// Guards against a failure of a target that is withheld from the caller because
+// it is not signed: only a success needs a signature.
+BOOST_AUTO_TEST_CASE(unsigned_failure_is_relayed_to_the_caller_of_a_call)
+{
+    for (auto* it : {&engine, &sound_engine})
+        it->make_answer = [](const std::string& request)
+        {
+            return scripted_answer{
+                whole_answer(404, "unknown", id_line(request))};
+        };
+    const auto answer = send_request(get("/c/x"), "unknown");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 404 "));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/test_protocols.cpp
+++ b/test/platform/test_protocols.cpp
@@ -166,9 +166,14 @@
     const auto& classify = protocol.classify;
     BOOST_TEST(
         (classify(answer_with(200, {id, stamp}), used) == answer_kind::answer));
-    BOOST_TEST((classify(answer_with(500, {id}), used) == answer_kind::answer));
+    BOOST_TEST(
+        (classify(answer_with(500, {id, stamp}), used) == answer_kind::answer));
 
-    // A success without a signature is no answer of the target.
+    // Without a signature, a success is no answer of the target, and a failure
+    // may not be one.
+    for (const unsigned status : {404, 422, 500})
+        BOOST_TEST((classify(answer_with(status, {id}), used) ==
+                    answer_kind::unsigned_failure));
     for (const unsigned status : {200, 204, 299})
         BOOST_TEST((classify(answer_with(status, {id}), used) ==
                     answer_kind::invalid));
@@ -185,7 +190,8 @@
         (classify(answer_with(421, {other}), used) == answer_kind::foreign));
 
     // The request of a 503 without the field may have run.
-    BOOST_TEST((classify(answer_with(503, {id}), used) == answer_kind::answer));
+    BOOST_TEST(
+        (classify(answer_with(503, {id, stamp}), used) == answer_kind::answer));
     BOOST_TEST(
         (classify(answer_with(503, {not_run}), fresh) == answer_kind::not_run));
     BOOST_TEST(
