Give up an item for its long text only when its route permits it

An item was listed as dead_lettered as soon as one target had sent more than the largest text that can be recorded, though no target had answered 422 or 500 and its time was not over.

Cause: check_text_sizes turned a limit of this system into a verdict on the item. It cancelled the attempt and tried no other target.

Change: the attempt ends with answer_too_large (1412) at the piece that exceeds the limit, not up to 50 ms later. decide_after_large_text lets the item run elsewhere until its route permits to give it up or, without such a time, until several targets have sent as much. Long texts don't count against a target, as an item may ask for them.

--- a/src/batch/attempt_decision.cpp
+++ b/src/batch/attempt_decision.cpp
@@ -17,6 +17,8 @@
 constexpr auto retry_pause = std::chrono::milliseconds(50);
 constexpr std::uint32_t max_retry_pauses = 20;
 
+constexpr auto no_pause = std::chrono::milliseconds(0);
+
 /// Interrupted attempts since data was last received after which an item starts
 /// from its beginning: its targets may be unable to resume from the data
 /// received so far.
@@ -38,8 +40,31 @@
     return {std::nullopt, retry_pause};
 }
 
+/// Returns true if as many targets have sent a text that was too large as may
+/// be asked for one.
+bool is_confirmed_large(const item_run& item, const large_text_context& context)
+{
+    const auto needed_targets =
+        std::min<std::size_t>(context.max_failures, context.target_count);
+    return item.large_texts >= context.max_failures &&
+           item.large_text_targets.size() >= needed_targets;
+}
+
 } // namespace
 
+attempt_decision decide_after_large_text(item_run& item,
+                                         const large_text_context& context)
+{
+    if (item.data.not_repeatable())
+        return {proto::ITEM_UNKNOWN, no_pause, true};
+    ++item.large_texts;
+    item.large_text_targets.emplace(context.target);
+    if (context.has_expired.value_or(is_confirmed_large(item, context)))
+        return {proto::ITEM_DEAD, no_pause, true};
+    return {std::nullopt,
+            retry_pause * std::min(item.large_texts, max_retry_pauses), true};
+}
+
 attempt_decision decide_after_attempt(item_run& item,
                                       const targets::attempt_end& end,
                                       failure_kind kind,
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -2,6 +2,7 @@
 #define TANAGERTRACK_BATCH_ITEM_RUN_HPP
 
 #include "common/clock.hpp"
+#include "http/event_splitter.hpp"
 #include "proto/jobs.pb.h"
 #include "routing/prompt.hpp"
 #include "routing/urgency.hpp"
@@ -16,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace tanagertrack::batch
@@ -109,6 +111,10 @@
     std::uint32_t broken_attempts = 0;
     std::uint32_t refused_attempts = 0;
 
+    /// Texts that exceeded the maximum size, and the targets that sent them.
+    std::uint32_t large_texts = 0;
+    std::set<std::string> large_text_targets;
+
     /// Time at which the first attempt started.
     std::optional<common::time_point> first_started;
 
@@ -155,6 +161,21 @@
         return out;
     }
 
+    /// Appends a piece of the response to the text: the data of a numbered
+    /// event of a stream, or a part of another response.
+    void add_to_text(std::string_view piece, std::optional<std::uint64_t> event)
+    {
+        if (!event)
+        {
+            text += piece;
+            return;
+        }
+        if (events++ != 0)
+            text += '\n';
+        text += http::event_data(piece);
+        last_event = event;
+    }
+
     /// Discards the received data, so that the next attempt starts from the
     /// beginning.
     void discard_received()
--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -1,13 +1,12 @@
 #include "batch/runner.hpp"
 
-#include "batch/attempt_decision.hpp"
 #include "batch/item_intents.hpp"
 #include "batch/item_request.hpp"
 #include "batch/item_route.hpp"
 #include "batch/preemption.hpp"
 #include "batch/progress_store.hpp"
 #include "common/logging.hpp"
-#include "http/event_splitter.hpp"
+#include "common/result_code.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -105,7 +104,6 @@
 {
     const auto now = common::clock::now();
     check_timeouts(now);
-    check_text_sizes();
     mark_late_items(now);
     progress_.record_due_items(running_, now);
     update_routes();
@@ -431,13 +429,20 @@
                                milliseconds refused_for, common::time_point now)
 {
     item->not_before = now + std::min(refused_for, max_quarantine_pause);
+    if (has_expired(run, *item, now).value_or(false))
+        finish_item(item, proto::ITEM_DEAD, 0, {});
+}
+
+std::optional<bool> runner::has_expired(const job_run& run,
+                                        const item_run& item,
+                                        common::time_point now) const
+{
     const auto due_after =
         milliseconds(jobs_.table().find(run.id)->due_after_ms);
-    const auto expires_after = item->route.expires_after;
-    const bool has_expired = due_after.count() != 0 && expires_after &&
-                             now > run.due - due_after + *expires_after;
-    if (has_expired)
-        finish_item(item, proto::ITEM_DEAD, 0, {});
+    const auto expires_after = item.route.expires_after;
+    if (due_after.count() == 0 || !expires_after)
+        return std::nullopt;
+    return now > run.due - due_after + *expires_after;
 }
 
 void runner::handle_intent(const proto::ItemIntent& intent,
@@ -512,7 +517,8 @@
 
     targets::attempt_hooks hooks;
     hooks.on_piece =
-        [item](std::string_view piece, std::optional<std::uint64_t> event)
+        [item, max_bytes = environment_.settings.max_text_bytes](
+            std::string_view piece, std::optional<std::uint64_t> event)
     {
         // A piece without a number belongs to a response that is not a stream.
         // In a stream it is no part of the text: it is the body of an error
@@ -521,15 +527,9 @@
             return;
         item->broken_attempts = 0;
         item->refused_attempts = 0;
-        if (!event)
-        {
-            item->text += piece;
-            return;
-        }
-        if (item->events++ != 0)
-            item->text += '\n';
-        item->text += http::event_data(piece);
-        item->last_event = event;
+        item->add_to_text(piece, event);
+        if (item->text.size() > max_bytes)
+            item->attempt->refuse_large_answer();
     };
     hooks.on_end = [this, item](const targets::attempt_end& end)
     {
@@ -564,10 +564,7 @@
         return;
     item->run_time += common::clock::now() - attempt->started_at();
     const auto& target = attempt->destination()->id();
-    const auto decision = decide_after_attempt(
-        *item, end, environment_.classify_failure(end.status),
-        find_route(*item).max_failures.value_or(
-            environment_.settings.max_failures));
+    const auto decision = decide(*item, end, target);
     if (decision.end != proto::ITEM_DONE)
         common::log_info("item_attempt_failed",
                          {{"job", item->job},
@@ -579,8 +576,8 @@
                           {"events", item->events},
                           {"failures", item->failures},
                           {"again_after_ms", decision.pause.count()}});
-    if (item->text.size() > environment_.settings.max_text_bytes)
-        return fail_oversized(item, target);
+    if (decision.restarts)
+        item->discard_received();
     if (decision.end == proto::ITEM_DONE && !item->rank.urgency.is_late)
         record_run_time(*item);
     if (decision.end)
@@ -589,13 +586,33 @@
     {
         item->avoided_target = target;
         item->not_before = common::clock::now() + decision.pause;
-        if (decision.restarts)
-            item->discard_received();
         requeue(item);
     }
     schedule_start();
 }
 
+attempt_decision runner::decide(item_run& item, const targets::attempt_end& end,
+                                const std::string& target)
+{
+    const auto route = find_route(item);
+    const auto max_failures =
+        route.max_failures.value_or(environment_.settings.max_failures);
+    if (end.ec != common::result_code::answer_too_large)
+        return decide_after_attempt(
+            item, end, environment_.classify_failure(end.status), max_failures);
+    common::log_warning("item_text_too_large",
+                        {{"job", item.job},
+                         {"item", item.data.id()},
+                         {"target", target},
+                         {"bytes", item.text.size()},
+                         {"max_bytes", environment_.settings.max_text_bytes}});
+    return decide_after_large_text(
+        item, {target, environment_.targets.of_service(route.service).size(),
+               max_failures,
+               has_expired(runs_.find(item.job)->second, item,
+                           common::clock::now())});
+}
+
 void runner::finish_item(const item_run_ptr& item, proto::ItemState state,
                          unsigned status, const std::string& target)
 {
@@ -704,29 +721,6 @@
     }
 }
 
-void runner::check_text_sizes()
-{
-    for (const auto& it : std::vector(running_.begin(), running_.end()))
-    {
-        if (it->text.size() <= environment_.settings.max_text_bytes)
-            continue;
-        const auto attempt = cancel_attempt(it);
-        fail_oversized(it, attempt->destination()->id());
-    }
-}
-
-void runner::fail_oversized(const item_run_ptr& item, const std::string& target)
-{
-    common::log_warning("item_text_too_large",
-                        {{"job", item->job},
-                         {"item", item->data.id()},
-                         {"bytes", item->text.size()},
-                         {"max_bytes", environment_.settings.max_text_bytes}});
-    item->discard_received();
-    finish_item(item, proto::ITEM_DEAD, 0, target);
-    schedule_start();
-}
-
 targets::attempt_ptr runner::cancel_attempt(const item_run_ptr& item)
 {
     auto attempt = std::exchange(item->attempt, nullptr);
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERTRACK_BATCH_RUNNER_HPP
 #define TANAGERTRACK_BATCH_RUNNER_HPP
 
+#include "batch/attempt_decision.hpp"
 #include "batch/environment.hpp"
 #include "batch/intake.hpp"
 #include "batch/item_run.hpp"
@@ -164,6 +165,11 @@
     void hold_refused_item(const job_run& run, const item_run_ptr& item,
                            std::chrono::milliseconds refused_for,
                            common::time_point now);
+
+    /// Returns whether the time is over after which the route permits to give
+    /// the item up; std::nullopt if there is no such time.
+    std::optional<bool> has_expired(const job_run& run, const item_run& item,
+                                    common::time_point now) const;
     void handle_intent(const proto::ItemIntent& intent,
                        state::intent_result result);
     targets::target_ptr choose_target(const item_run& item,
@@ -178,6 +184,10 @@
     void handle_attempt_end(const item_run_ptr& item,
                             const targets::attempt_end& end);
 
+    /// Decides how an item continues after an attempt at `target`.
+    attempt_decision decide(item_run& item, const targets::attempt_end& end,
+                            const std::string& target);
+
     /// Ends the item in a final state and passes its result to the recorder.
     /// The item is removed from its job when the result is read back.
     void finish_item(const item_run_ptr& item, proto::ItemState state,
@@ -197,8 +207,6 @@
                                    common::time_point now);
     void interrupt_item(const item_run_ptr& item, std::string_view reason);
     void check_timeouts(common::time_point now);
-    void check_text_sizes();
-    void fail_oversized(const item_run_ptr& item, const std::string& target);
     targets::attempt_ptr cancel_attempt(const item_run_ptr& item);
 
     environment& environment_;
--- a/src/common/result_code.hpp
+++ b/src/common/result_code.hpp
@@ -104,6 +104,8 @@
         "the work gave its place to online work")                              \
     ROW(prompt_quarantined, 1411, 503, not_run,                                \
         "a part of the prompt has crashed targets")                            \
+    ROW(answer_too_large, 1412, 502, ran,                                      \
+        "the answer is larger than can be kept")                               \
     ROW(ticket_invalid, 1501, 400, not_run, "the ticket is not valid")         \
     ROW(ticket_stale, 1502, 409, not_run,                                      \
         "the ticket's number is not above the last accepted one for an "       \
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -36,7 +36,8 @@
         return attempt_result::complete;
     if (end.result == outcome::not_run)
         return attempt_result::not_run;
-    if (end.ec == result_code::protocol_error)
+    if (end.ec == result_code::protocol_error ||
+        end.ec == result_code::answer_too_large)
         return attempt_result::invalid;
     return content_received ? attempt_result::lost_midway
                             : attempt_result::lost_at_start;
@@ -152,9 +153,7 @@
         last_progress_ = common::clock::now();
         if (http::is_success(status_))
             handle_content();
-        if (hooks_.on_piece)
-            hooks_.on_piece(piece, std::nullopt);
-        return;
+        return pass_on(piece, std::nullopt);
     }
     if (!splitter_.feed(piece) && !ended_)
         finish({outcome::failed, status_,
@@ -178,8 +177,23 @@
         handle_content();
         measure_event();
     }
+    pass_on(event.bytes, event.id);
+}
+
+void attempt::pass_on(std::string_view piece,
+                      std::optional<std::uint64_t> event)
+{
     if (hooks_.on_piece)
-        hooks_.on_piece(event.bytes, event.id);
+        hooks_.on_piece(piece, event);
+    if (too_large_ && !ended_)
+        finish({outcome::failed, 0,
+                make_error_code(result_code::answer_too_large),
+                "answer_too_large"});
+}
+
+void attempt::refuse_large_answer()
+{
+    too_large_ = true;
 }
 
 void attempt::handle_answer_end(std::error_code ec)
@@ -226,6 +240,8 @@
 void attempt::record_target_health(const attempt_end& end)
 {
     using routing::target_failure;
+    if (end.ec == result_code::answer_too_large)
+        return;
     if (end.result == outcome::failed)
         return destination_->record_failure(target_failure::unanswered);
     if (replaced_)
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -124,6 +124,11 @@
     /// this as a failure of the target.
     void cancel_silent();
 
+    /// Ends the attempt with `answer_too_large` once the running `on_piece` has
+    /// returned. This is no failure of the target: the request may have asked
+    /// for that much.
+    void refuse_large_answer();
+
     /// Stops reading the response if `paused` is true, resumes it otherwise.
     void pause(bool paused);
 
@@ -163,6 +168,9 @@
     void handle_head(const http::response_head& head);
     void handle_body(std::string_view piece);
     void handle_event(const http::stream_event& event);
+
+    /// Calls `on_piece`.
+    void pass_on(std::string_view piece, std::optional<std::uint64_t> event);
     void handle_answer_end(std::error_code ec);
 
     /// Ends the attempt and calls `on_end`.
@@ -248,6 +256,9 @@
     /// True if the response has no length and ends with its connection.
     bool ends_with_connection_ = false;
 
+    /// True once `refuse_large_answer` was called.
+    bool too_large_ = false;
+
     /// True if the head of the response has the target's signature.
     bool signed_ = false;
 
--- a/test/batch/test_decisions.cpp
+++ b/test/batch/test_decisions.cpp
@@ -70,6 +70,47 @@
     }
 }
 
+// Guards against an item that is given up because one target sends more than it
+// should, and against one with a long text that is repeated for ever.
+BOOST_AUTO_TEST_CASE(large_text_ends_an_item_when_its_route_permits_it)
+{
+    batch::item_run item;
+    const auto decide =
+        [&](std::string_view target, std::optional<bool> expired)
+    {
+        return batch::decide_after_large_text(item, {target, 3, 2, expired});
+    };
+    BOOST_TEST(!decide("a", false).end.has_value());
+    BOOST_TEST(!decide("b", false).end.has_value());
+    BOOST_TEST(!decide("c", false).end.has_value());
+    BOOST_TEST(decide("c", false).restarts);
+    BOOST_TEST((decide("c", true).end == proto::ITEM_DEAD));
+}
+
+BOOST_AUTO_TEST_CASE(large_texts_of_different_targets_end_an_item)
+{
+    const auto decide =
+        [](batch::item_run& item, std::string_view target, std::size_t targets)
+    {
+        return batch::decide_after_large_text(item, {target, targets, 2, {}})
+            .end;
+    };
+    batch::item_run item;
+    BOOST_TEST(!decide(item, "a", 3).has_value());
+    BOOST_TEST(!decide(item, "a", 3).has_value());
+    BOOST_TEST(!decide(item, "a", 3).has_value());
+    BOOST_TEST((decide(item, "b", 3) == proto::ITEM_DEAD));
+
+    // No other target can confirm what the only one of a service says.
+    batch::item_run only_one;
+    BOOST_TEST(!decide(only_one, "a", 1).has_value());
+    BOOST_TEST((decide(only_one, "a", 1) == proto::ITEM_DEAD));
+
+    batch::item_run once;
+    once.data.set_not_repeatable(true);
+    BOOST_TEST((decide(once, "a", 3) == proto::ITEM_UNKNOWN));
+}
+
 // Guards against a second run of an item that must run at most once.
 BOOST_AUTO_TEST_CASE(non_repeatable_item_that_may_have_run_ends_as_unknown)
 {
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -120,6 +120,46 @@
     BOOST_TEST((run("c").state == proto::ITEM_DONE));
 }
 
+// Guards against items that are given up because a target in trouble sends more
+// than it should: the other target must get them. Guards also against a text
+// that grows by all that arrives between two checks.
+BOOST_AUTO_TEST_CASE(item_with_too_large_a_text_runs_on_another_target)
+{
+    one.settings.max_text_bytes = 1000;
+    one.settings.event_timeout = 10s;
+    auto& sound = add_server();
+    sound.make_answer = make_events(3);
+    server.make_answer = [](const std::string& request)
+    {
+        return open_events(request, 5000);
+    };
+    one.add_target("t2", sound);
+    std::vector<proto::JobItem> items;
+    for (int n = 0; n < 6; ++n)
+        items.push_back(one.make_item("i" + std::to_string(n)));
+    BOOST_REQUIRE(one.accept("j", items));
+    BOOST_REQUIRE(one.until([&] { return one.finished("j"); }));
+    BOOST_TEST(!server.requests.empty());
+    for (const auto& it : read(one, "j"))
+    {
+        BOOST_TEST((it.state == proto::ITEM_DONE));
+        BOOST_TEST(it.text.text() == "e1\ne2\ne3");
+    }
+}
+
+// Guards against an item of the users' platform that is given up before its
+// route permits it, though no target has refused it.
+BOOST_AUTO_TEST_CASE(item_with_too_large_a_text_is_kept_until_it_expires)
+{
+    one.settings.max_text_bytes = 10;
+    one.add_route(1, 500ms, 2);
+    server.make_answer = make_events(5);
+    const auto submitted = common::clock::now();
+    BOOST_TEST((run("a").state == proto::ITEM_DEAD));
+    BOOST_TEST((common::clock::now() - submitted >= 500ms));
+    BOOST_TEST(server.requests.size() > 1);
+}
+
 // Guards against all items being late in an overload, because those that are
 // late already start first.
 BOOST_AUTO_TEST_CASE(item_that_can_meet_its_due_time_starts_before_a_late_one)
