End attempts whose events have no numbers

An item whose target sent events without ids waited for that target for ever: the text did not grow, and no other target was tried.

Cause: each event with data counted as progress, while only numbered events add to a text and let another target continue a stream. Comments were no progress, but nothing bounded how many were read.

Change: only whole numbered events are progress.

Evidence: attempt/stream_without_numbered_events_ends_as_failed and batch_runner/item_runs_elsewhere_if_its_events_have_no_numbers failed before, the latter by its timeout.

--- a/src/batch/item_request.cpp
+++ b/src/batch/item_request.cpp
@@ -26,6 +26,7 @@
     out.request_id = item.data.id();
     out.events = !item.data.whole_answer();
     out.after_event = item.last_event;
+    out.max_unnumbered_bytes = targets::unnumbered_bytes_limit;
     out.prompt = item.prompt;
 
     // Uses a new connection: if the target closed an idle one while the request
--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -154,6 +154,8 @@
     to_send.without_body = call_.method == "HEAD";
     to_send.events = is_stream();
     to_send.after_event = last_event_;
+    if (call_.repeats == fleet::repetition::resumable)
+        to_send.max_unnumbered_bytes = targets::unnumbered_bytes_limit;
     to_send.prompt = call_.prompt;
 
     // An idle connection may still deliver a late response to an earlier
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -169,15 +169,28 @@
         return finish({outcome::failed, status_,
                        make_error_code(result_code::protocol_error),
                        "event_out_of_order"});
-    if (event.id)
-        last_event_ = event.id;
     if (event.id || http::has_event_data(event.bytes))
+        handle_content();
+    if (event.id)
     {
+        last_event_ = event.id;
         last_progress_ = common::clock::now();
-        handle_content();
+        unnumbered_bytes_ = 0;
         measure_event();
     }
-    pass_on(event.bytes, event.id);
+    else
+        count_unnumbered(event.bytes.size());
+    if (!ended_)
+        pass_on(event.bytes, event.id);
+}
+
+void attempt::count_unnumbered(std::size_t bytes)
+{
+    unnumbered_bytes_ += bytes;
+    if (unnumbered_bytes_ > request_.max_unnumbered_bytes)
+        finish({outcome::failed, status_,
+                make_error_code(result_code::protocol_error),
+                "events_without_numbers"});
 }
 
 void attempt::pass_on(std::string_view piece,
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,11 @@
 namespace tanagertrack::targets
 {
 
+/// Value of `attempt_request::max_unnumbered_bytes` for streams that may be
+/// continued: room for the comments with which a target keeps a connection
+/// open.
+constexpr std::size_t unnumbered_bytes_limit = 64UL * 1024;
+
 /// What an attempt sends, and how its response is read.
 struct attempt_request
 {
@@ -48,6 +54,10 @@
     /// Number of the event after which the stream continues, if any.
     std::optional<std::uint64_t> after_event;
 
+    /// Bytes without a numbered event after which a stream of events fails: the
+    /// recipient needs the numbers to continue the stream at another target.
+    std::size_t max_unnumbered_bytes = std::numeric_limits<std::size_t>::max();
+
     /// Parts of the request's prompt.
     routing::prompt prompt;
 };
@@ -156,8 +166,8 @@
     }
 
     /// Time at which the last part of the response was received; at first, the
-    /// time of the start. Of a stream of events, only the head and whole events
-    /// count, and of these not comments.
+    /// time of the start. Of a stream of events, only the head and whole
+    /// numbered events count.
     common::time_point last_progress() const
     {
         return last_progress_;
@@ -169,6 +179,10 @@
     void handle_body(std::string_view piece);
     void handle_event(const http::stream_event& event);
 
+    /// Counts the bytes since the last numbered event and ends the attempt if
+    /// there are too many.
+    void count_unnumbered(std::size_t bytes);
+
     /// Calls `on_piece`.
     void pass_on(std::string_view piece, std::optional<std::uint64_t> event);
     void handle_answer_end(std::error_code ec);
@@ -219,6 +233,9 @@
     std::optional<std::uint64_t> last_event_;
     unsigned status_ = 0;
 
+    /// Bytes of the events since the last numbered one.
+    std::size_t unnumbered_bytes_ = 0;
+
     /// Start of the current measurement of the time between events, and the
     /// events since then, including the first one.
     common::time_point measured_from_;
--- a/test/batch/test_runner.cpp
+++ b/test/batch/test_runner.cpp
@@ -1,4 +1,5 @@
 #include "batch/batch_fixture.hpp"
+#include "common/periodic_timer.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -160,6 +161,35 @@
     BOOST_TEST(server.requests.size() > 1);
 }
 
+// Guards against an item that waits for ever for a target that sends events
+// without numbers, or comments: neither adds to its text.
+BOOST_AUTO_TEST_CASE(item_runs_elsewhere_if_its_events_have_no_numbers)
+{
+    auto& sound = add_server();
+    for (const std::string piece : {"data: x\n\n", ": comment\n\n"})
+    {
+        server.make_answer = [piece](const std::string& request)
+        {
+            return scripted_answer{
+                chunked_head(200, answers_to(field_of(request, "Id"))) +
+                chunk(piece)};
+        };
+        sound.make_answer = server.make_answer;
+        const std::string id = piece.substr(0, 1) == ":" ? "a" : "b";
+        common::periodic_timer trickle(context, 5ms,
+                                       [&] { server.send_all(chunk(piece)); });
+        trickle.start();
+        BOOST_REQUIRE(one.accept("j-" + id, {one.make_item(id)}));
+        const auto sent = server.requests.size();
+        BOOST_REQUIRE(one.until([&] { return server.requests.size() > sent; }));
+        sound.make_answer = make_events(3);
+        one.add_target("t-" + id, sound);
+        BOOST_TEST(one.until([&] { return one.finished("j-" + id); }));
+        BOOST_TEST(read(one, "j-" + id).front().text.text() == "e1\ne2\ne3");
+        one.targets.remove("t-" + id);
+    }
+}
+
 // Guards against all items being late in an overload, because those that are
 // late already start first.
 BOOST_AUTO_TEST_CASE(item_that_can_meet_its_due_time_starts_before_a_late_one)
--- a/test/targets/test_attempt.cpp
+++ b/test/targets/test_attempt.cpp
@@ -45,6 +45,7 @@
         request.events = events;
         request.after_event = after;
         request.max_idle_time = max_idle_time;
+        request.max_unnumbered_bytes = targets::unnumbered_bytes_limit;
         end.reset();
         body.clear();
         targets::attempt_hooks hooks;
@@ -305,6 +306,39 @@
     BOOST_TEST((run("b", true).result == outcome::failed));
 }
 
+// Guards against a target that keeps a stream open with events that can't be
+// continued elsewhere, or with comments: they are no progress, and there is an
+// end to them even if they come fast.
+BOOST_AUTO_TEST_CASE(stream_without_numbered_events_ends_as_failed)
+{
+    const std::string first =
+        chunked_head(200, answers_to("a")) + chunk(event(1, "one"));
+    for (const std::string piece : {"data: x\n\n", ": comment\n\n", "\n\n"})
+    {
+        BOOST_TEST_CONTEXT("piece " << piece)
+        {
+            server.add(first);
+            body.clear();
+            const auto it = start("a", true);
+            BOOST_REQUIRE(run_until(context, [&] { return !body.empty(); }));
+            const auto progress = it->last_progress();
+            std::string pieces;
+            while (pieces.size() < targets::unnumbered_bytes_limit / 2)
+                pieces += piece;
+            server.send_all(chunk(pieces));
+            BOOST_REQUIRE(run_until(context, [&]
+                                    { return body.size() > pieces.size(); }));
+            BOOST_TEST((it->last_progress() == progress));
+            BOOST_TEST(!end.has_value());
+
+            server.send_all(chunk(pieces) + chunk(piece));
+            BOOST_REQUIRE(run_until(context, [&] { return end.has_value(); }));
+            BOOST_TEST((end->result == outcome::failed));
+            BOOST_TEST(end->reason == "events_without_numbers");
+        }
+    }
+}
+
 // Guards against a missing or repeated event in a resumed stream. The target
 // continues it after another event than the requested one.
 BOOST_AUTO_TEST_CASE(event_out_of_order_ends_as_failed)
