Start resumable streams elsewhere if their target sent comments only

The caller of a resumable stream waited until its deadline when the first target sent a comment and then no event: first_event_timeout did not move the stream.

Cause: the comment started the response, and a started response can only be continued after a numbered event.

Change: nothing is written before the first numbered event of a resumable stream, up to held_answer_bytes, and held pieces do not count as bytes that wait for the caller.

Evidence: online_request/stream_that_begins_with_comments_is_moved failed before (aborted at its timeout after the comment) and passes now.

--- a/src/online/request.cpp
+++ b/src/online/request.cpp
@@ -228,10 +228,7 @@
     const bool first_event = event && !first_event_at_;
     if (first_event)
         first_event_at_ = common::clock::now();
-    const bool buffered =
-        !is_stream() || head_.status >= http::first_server_error;
-    if (!answer_started_ && buffered &&
-        unsent_.size() <= environment_.settings.held_answer_bytes)
+    if (is_held())
         return;
     flush();
 
@@ -243,6 +240,20 @@
         attempt_->pause(true);
 }
 
+bool request::is_held() const
+{
+    if (answer_started_ ||
+        unsent_.size() > environment_.settings.held_answer_bytes)
+        return false;
+    if (!is_stream() || head_.status >= http::first_server_error)
+        return true;
+
+    // With a comment, the caller would have the head of a target that may never
+    // send an event, and no event after which another one could continue.
+    return call_.repeats == fleet::repetition::resumable &&
+           http::is_success(head_.status) && !first_event_at_;
+}
+
 void request::handle_attempt_end(const targets::attempt_end& end)
 {
     if (ended_)
@@ -435,7 +446,9 @@
 common::time_point request::silence_timeout_at() const
 {
     // A silent target matters only if another one may continue the stream.
-    const bool can_be_moved = attempt_ && unsent_.empty() && is_stream() &&
+    // While bytes wait for the caller, the target may wait too.
+    const bool is_waited_for = unsent_.empty() || !answer_started_;
+    const bool can_be_moved = attempt_ && is_waited_for && is_stream() &&
                               call_.repeats == fleet::repetition::resumable &&
                               (!answer_started_ || is_resumable_answer()) &&
                               runs_ + 1 < call_.route->max_attempts;
--- a/src/online/request.hpp
+++ b/src/online/request.hpp
@@ -97,6 +97,10 @@
     void handle_head(const http::response_head& head);
     void handle_piece(std::string_view piece,
                       std::optional<std::uint64_t> event);
+
+    /// Returns true if the received part of the response is not written yet, so
+    /// that another target can still answer in place of this one.
+    bool is_held() const;
     void handle_attempt_end(const targets::attempt_end& end);
     void handle_not_run(const targets::attempt_end& end);
     void handle_attempt_failure(const targets::attempt_end& end);
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -564,6 +564,32 @@
     }
 }
 
+// Guards against a stream that can't be moved any more because a target began
+// with a comment, and that waits for this target until its deadline.
+BOOST_AUTO_TEST_CASE(stream_that_begins_with_comments_is_moved)
+{
+    make_stream();
+    settings.first_event_timeout = 50ms;
+    auto& first = add_target("t1");
+    first.add(chunked_head(200, head) + chunk(": comment\n\n"));
+    add_target("t2").add(chunked_head(200, head) + chunk(event(1, "a")) +
+                         chunk(""));
+    received_answer result;
+    start(result);
+    common::periodic_timer comments(context, 5ms,
+                                    [&]
+                                    {
+                                        if (first.closed == 0)
+                                            first.send_all(
+                                                chunk(": comment\n\n"));
+                                    });
+    comments.start();
+    BOOST_REQUIRE(run_until(context, [&] { return result.ended(); }));
+    BOOST_TEST(result.complete);
+    BOOST_TEST(result.body == event(1, "a"));
+    BOOST_TEST(first.closed == 1);
+}
+
 BOOST_AUTO_TEST_CASE(non_repeatable_stream_is_aborted_when_the_answer_is_cut)
 {
     make_stream();
