Count events beyond the stated size of an item against their target

A target that answered items with numbered events without end went on getting items: the items were moved once their texts were too long, but nothing counted against the target, which looked free.

Cause: the item's size (tokenCount) was used for admission only, and the limit of a text says nothing about a target.

Change: an event carries at least one token, so an attempt of an item ends with too_many_events after as many events as the item has tokens. This is a failure of the target, and the item starts again elsewhere.

--- a/src/batch/attempt_decision.cpp
+++ b/src/batch/attempt_decision.cpp
@@ -77,11 +77,17 @@
     if (was_sent && item.data.not_repeatable())
         return {proto::ITEM_UNKNOWN};
     ++(was_sent ? item.broken_attempts : item.refused_attempts);
+
+    // An item with all events that it can have has them from a target that did
+    // not stop there.
+    const bool has_all_events =
+        item.max_events() && item.events >= *item.max_events();
     const auto attempts_without_data =
         item.broken_attempts + item.refused_attempts;
     return {std::nullopt,
             retry_pause * std::min(attempts_without_data, max_retry_pauses),
-            was_sent && item.broken_attempts == max_broken_resumes};
+            was_sent &&
+                (item.broken_attempts == max_broken_resumes || has_all_events)};
 }
 
 } // namespace tanagertrack::batch
--- a/src/batch/item_request.cpp
+++ b/src/batch/item_request.cpp
@@ -1,5 +1,6 @@
 #include "batch/item_request.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -26,6 +27,9 @@
     out.request_id = item.data.id();
     out.events = !item.data.whole_answer();
     out.after_event = item.last_event;
+    if (item.max_events())
+        out.max_events =
+            *item.max_events() - std::min(*item.max_events(), item.events);
     out.max_unnumbered_bytes = targets::unnumbered_bytes_limit;
     out.prompt = item.prompt;
 
--- a/src/batch/item_run.hpp
+++ b/src/batch/item_run.hpp
@@ -143,6 +143,13 @@
         return attempt ? run_time + (now - attempt->started_at()) : run_time;
     }
 
+    /// Returns the number of events that the item can have, since each one
+    /// carries at least one token; std::nullopt if its size is not known.
+    std::optional<std::uint32_t> max_events() const
+    {
+        return data.tokens() != 0 ? std::optional(data.tokens()) : std::nullopt;
+    }
+
     /// Returns true if the item may be stopped and started again.
     bool is_preemptible() const
     {
--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -169,6 +169,10 @@
         return finish({outcome::failed, status_,
                        make_error_code(result_code::protocol_error),
                        "event_out_of_order"});
+    if (event.id && ++events_ > request_.max_events)
+        return finish({outcome::failed, status_,
+                       make_error_code(result_code::protocol_error),
+                       "too_many_events"});
     if (event.id || http::has_event_data(event.bytes))
         handle_content();
     if (event.id)
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -54,6 +54,9 @@
     /// Number of the event after which the stream continues, if any.
     std::optional<std::uint64_t> after_event;
 
+    /// Numbered events after which a further one is an error of the target.
+    std::uint64_t max_events = std::numeric_limits<std::uint64_t>::max();
+
     /// Bytes without a numbered event after which a stream of events fails: the
     /// recipient needs the numbers to continue the stream at another target.
     std::size_t max_unnumbered_bytes = std::numeric_limits<std::size_t>::max();
@@ -233,6 +236,9 @@
     std::optional<std::uint64_t> last_event_;
     unsigned status_ = 0;
 
+    /// Numbered events that were received.
+    std::uint64_t events_ = 0;
+
     /// Bytes of the events since the last numbered one.
     std::size_t unnumbered_bytes_ = 0;
 
--- a/test/targets/test_attempt.cpp
+++ b/test/targets/test_attempt.cpp
@@ -45,6 +45,7 @@
         request.events = events;
         request.after_event = after;
         request.max_idle_time = max_idle_time;
+        request.max_events = max_events;
         request.max_unnumbered_bytes = targets::unnumbered_bytes_limit;
         end.reset();
         body.clear();
@@ -97,6 +98,7 @@
     std::optional<targets::attempt_end> end;
     std::string body;
     std::vector<std::uint64_t> numbers;
+    std::uint64_t max_events = 1000;
 };
 
 } // namespace
@@ -306,6 +308,21 @@
     BOOST_TEST((run("b", true).result == outcome::failed));
 }
 
+// Guards against a target that sends more than the request asked for, and that
+// failure detection does not see as it always sends something.
+BOOST_AUTO_TEST_CASE(stream_with_too_many_events_ends_as_failed)
+{
+    max_events = 2;
+    for (int n = 0; n < 2; ++n)
+    {
+        server.add(chunked_head(200, answers_to("a")) + chunk(event(1, "x")) +
+                   chunk(event(2, "x")) + chunk(event(3, "x")));
+        BOOST_TEST(run("a", true).reason == "too_many_events");
+        BOOST_TEST(body == event(1, "x") + event(2, "x"));
+    }
+    BOOST_TEST(destination->load.health.is_avoided(common::clock::now()));
+}
+
 // Guards against a target that keeps a stream open with events that can't be
 // continued elsewhere, or with comments: they are no progress, and there is an
 // end to them even if they come fast.
