Take a response whose status is none for an error

A caller got the answer of a target in trouble whose status was 000; also 099, 600 and 999 were relayed. Items and calls that run once took them for answers, too.

Cause: the parser accepts any three digits, and nobody asked further. 101 was taken for an interim response, though no request asks for another protocol.

Change: client_connection ends such a response with protocol_error, for targets, the store and peers alike.

Evidence: client_connection/response_whose_status_is_none_is_an_error and online_request/answer_whose_status_is_none_is_not_relayed failed before (the status 000 and the body reached the caller).

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/client_connection.hpp"
 
 #include "common/result_code.hpp"
+#include "http/status.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -231,15 +232,23 @@
 bool client_connection::handle_head()
 {
     const auto& message = parser_->get();
-    if (message.result_int() / 100 == 1)
+    const unsigned status = message.result_int();
+
+    // No request asks for another protocol.
+    if (!is_status(status) || status == status_switching_protocols)
+    {
+        fail(make_error_code(result_code::protocol_error));
+        return false;
+    }
+    if (is_interim(status))
     {
-        // An informational (1xx) response: the final response follows.
+        // The final response follows.
         start_parser();
         return false;
     }
     head_received_ = true;
     response_head head;
-    head.status = message.result_int();
+    head.status = status;
     for (const auto& it : message)
         head.headers.add(it.name_string(), it.value());
     keep_alive_ = keep_alive_seconds(head.headers.find("Keep-Alive"));
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -149,7 +149,7 @@
     void start_parser();
 
     /// Calls `on_head`. Returns false for a 1xx response, after which parsing
-    /// starts again with the next response.
+    /// starts again with the next response, and after a failure.
     bool handle_head();
 
     void handle_end_of_stream(const boost::system::error_code& ec);
--- a/test/http/test_client_connection.cpp
+++ b/test/http/test_client_connection.cpp
@@ -1,3 +1,4 @@
+#include "common/result_code.hpp"
 #include "http/client_connection.hpp"
 #include "support/event_loop.hpp"
 #include "support/scripted_server.hpp"
@@ -23,8 +24,12 @@
         run_ready(context);
     }
 
+    /// Connects, in place of the connection before.
     void connect()
     {
+        connection->close();
+        connection =
+            new http::client_connection(context, http::client_settings());
         bool connected = false;
         connection->connect(server.address(),
                             [&](std::error_code ec) { connected = !ec; });
@@ -32,7 +37,7 @@
     }
 
     /// Returns the body of the response, or the error message.
-    std::string get(const std::function<void()>& on_body)
+    std::string get(const std::function<void()>& on_body = [] {})
     {
         std::string body;
         std::optional<std::error_code> result;
@@ -77,4 +82,31 @@
     }
 }
 
+// Guards against bytes of a server in trouble that are taken for a response,
+// and relayed, because their first line has the form of a status line. No
+// request asks for another protocol, which 101 would announce.
+BOOST_AUTO_TEST_CASE(response_whose_status_is_none_is_an_error)
+{
+    const auto message =
+        make_error_code(common::result_code::protocol_error).message();
+    for (const std::string status :
+         {"000", "001", "099", "101", "600", "777", "999"})
+    {
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            connect();
+            server.add("HTTP/1.1 " + status +
+                       " X\r\nContent-Length: 2\r\n\r\nhi");
+            BOOST_TEST(get() == message);
+            BOOST_TEST(connection->is_closed());
+        }
+    }
+    for (const std::string status : {"200", "299", "404", "500", "599"})
+    {
+        connect();
+        server.add("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nhi");
+        BOOST_TEST(get() == "hi");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -54,8 +54,7 @@
 
     ~fixture()
     {
-        const auto ids = std::vector<std::string>{"t1", "t2", "t3"};
-        for (const auto& it : ids)
+        for (const auto& it : target_ids)
             set.remove(it);
         for (auto& it : servers)
             it.stop();
@@ -65,6 +64,7 @@
     scripted_server& add_target(const std::string& id, std::uint32_t slots = 2)
     {
         auto& server = servers.emplace_back(context);
+        target_ids.push_back(id);
         set.add(id, make_announcement(server.address(), "s", slots));
         return server;
     }
@@ -185,6 +185,7 @@
     }
 
     boost::asio::io_context context;
+    std::vector<std::string> target_ids;
     std::list<scripted_server> servers;
     targets::target_protocol protocol = make_test_protocol();
     targets::target_set set{context, {"d", "", {}}, {}};
@@ -601,6 +602,21 @@
     BOOST_TEST(second.requests.empty());
 }
 
+// Guards against bytes of a target in trouble that reach the caller as an
+// answer whose status is none.
+BOOST_AUTO_TEST_CASE(answer_whose_status_is_none_is_not_relayed)
+{
+    for (const std::string status : {"000", "099", "600"})
+        add_target("t" + status)
+            .add("HTTP/1.1 " + status + " X\r\n" + head +
+                 "Content-Length: 3\r\n\r\nbad");
+    route.max_attempts = 4;
+    add_target("t9").add(whole_answer(200, "hello", head));
+    const auto result = run();
+    BOOST_TEST(result.status == 200);
+    BOOST_TEST(result.body == "hello");
+}
+
 // Guards against delivering an answer to the wrong caller.
 BOOST_AUTO_TEST_CASE(answer_with_the_id_of_another_request_is_not_relayed)
 {
