Bound the interim responses before a response

A target that sends 1xx responses without end was read as fast as it sent until the request timed out, at the cost of all other requests of the entry.

Cause: the limit of a head holds for each head alone, and the connection began anew after each interim one.

Change: the interim responses of a request may have max_header_bytes in all; more is a protocol_error of the target.

Evidence: client_connection/interim_responses_without_end_are_an_error failed before: the response did not end within the test's timeout.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -116,6 +116,7 @@
     hooks_ = std::make_shared<const response_hooks>(std::move(hooks));
     paused_ = false;
     keep_alive_.reset();
+    head_bytes_ = 0;
     start_parser();
     write_some();
     read_some();
@@ -205,6 +206,8 @@
         error_code ec;
         const auto n = parser_->put(buffer_.data(), ec);
         buffer_.consume(n);
+        if (!head_received_)
+            head_bytes_ += n;
         if (ec == bhttp::error::need_buffer)
             ec = {};
         const bool needs_more_input = ec == bhttp::error::need_more;
@@ -243,7 +246,10 @@
     if (is_interim(status))
     {
         // The final response follows.
-        start_parser();
+        if (head_bytes_ > settings_.max_header_bytes)
+            fail(make_error_code(result_code::protocol_error));
+        else
+            start_parser();
         return false;
     }
     head_received_ = true;
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -53,7 +53,8 @@
     /// Timeout for establishing a connection.
     std::chrono::milliseconds connect_timeout{1000};
 
-    /// Maximum size of a response's header in bytes; a larger one is an error.
+    /// Maximum size of a response's header, and of all interim responses before
+    /// it, in bytes; more is an error.
     std::uint32_t max_header_bytes = 32 * 1024;
 
     /// TCP_USER_TIMEOUT: the kernel closes the connection when sent data stays
@@ -175,6 +176,9 @@
     std::shared_ptr<const response_hooks> hooks_;
     std::optional<parser> parser_;
     bool head_received_ = false;
+
+    /// Bytes of the heads of this request's interim and final responses.
+    std::size_t head_bytes_ = 0;
     bool paused_ = false;
     bool read_pending_ = false;
 
--- a/test/http/test_client_connection.cpp
+++ b/test/http/test_client_connection.cpp
@@ -109,4 +109,26 @@
     }
 }
 
+// Guards against a server that sends interim responses without end, which keeps
+// its reader busy for as long as the reader waits.
+BOOST_AUTO_TEST_CASE(interim_responses_without_end_are_an_error)
+{
+    const std::string interim = "HTTP/1.1 102 X\r\nA: b\r\n\r\n";
+    std::string some;
+    while (some.size() < http::client_settings().max_header_bytes / 2)
+        some += interim;
+    connect();
+    server.add(some + whole_answer(200, "hi"));
+    BOOST_TEST(get() == "hi");
+
+    // The number starts anew with each request.
+    server.add(some + whole_answer(200, "hi"));
+    BOOST_TEST(get() == "hi");
+    BOOST_TEST(server.accepted == 1);
+
+    server.add(some + some + interim);
+    BOOST_TEST(get() ==
+               make_error_code(common::result_code::protocol_error).message());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
