Complete a response without a length only if the request has arrived

A caller got a part of an answer as the whole: the target answered a long upload at once, without a length, and left while the request was still being written.

Cause: such a response was complete at an orderly end of the reading side. A process that ends after it has read all that has arrived closes in an orderly way, and the reset, for the rest of the request, is seen by the writing side only and later.

Change: client_connection waits until the request was written and acknowledged, and fails the response if the socket has an error by then.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -9,10 +9,12 @@
 #include <boost/assert.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 
 namespace tanagertrack::http
@@ -32,6 +34,38 @@
 using user_timeout_option =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+/// Error of a socket that no read or write has reported yet.
+using pending_error_option =
+    asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR>;
+
+/// Asks for the bytes that were written to a socket and that the peer has not
+/// acknowledged.
+class undelivered_command
+{
+public:
+    int name() const
+    {
+        return SIOCOUTQ;
+    }
+
+    void* data()
+    {
+        return &value_;
+    }
+
+    std::size_t value() const
+    {
+        return static_cast<std::size_t>(std::max(value_, 0));
+    }
+
+private:
+    int value_ = 0;
+};
+
+/// Interval of the checks whether the peer has received the request, once the
+/// response has ended.
+constexpr auto delivery_check_interval = std::chrono::milliseconds(5);
+
 /// Parses "timeout=N" (seconds) in the value of a Keep-Alive header. Returns
 /// std::nullopt if there is none.
 std::optional<std::chrono::seconds> keep_alive_seconds(std::string_view value)
@@ -53,7 +87,7 @@
 
 client_connection::client_connection(asio::io_context& context,
                                      const client_settings& settings)
-    : socket_(context), connect_timer_(context), settings_(settings),
+    : socket_(context), timer_(context), settings_(settings),
       buffer_(settings.max_header_bytes + read_chunk_bytes)
 {
 }
@@ -66,8 +100,8 @@
     connect_handler_ = std::move(handler);
 
     boost::intrusive_ptr<client_connection> self(this);
-    connect_timer_.expires_after(settings_.connect_timeout);
-    connect_timer_.async_wait(
+    timer_.expires_after(settings_.connect_timeout);
+    timer_.async_wait(
         [self](const error_code& ec)
         {
             if (!ec && self->state_ == state::connecting)
@@ -84,7 +118,7 @@
                                   return;
                               if (result)
                                   return self->fail(result);
-                              self->connect_timer_.cancel();
+                              self->timer_.cancel();
                               self->set_options();
                               self->state_ = state::idle;
                               self->idle_since_ = common::clock::now();
@@ -116,6 +150,7 @@
     hooks_ = std::make_shared<const response_hooks>(std::move(hooks));
     paused_ = false;
     keep_alive_.reset();
+    response_ended_ = false;
     head_bytes_ = 0;
     start_parser();
     write_some();
@@ -153,7 +188,8 @@
 
 void client_connection::read_some()
 {
-    if (read_pending_ || parsing_ || paused_ || state_ == state::closed)
+    const bool has_ended = response_ended_ || state_ == state::closed;
+    if (read_pending_ || parsing_ || paused_ || has_ended)
         return;
     read_pending_ = true;
     boost::intrusive_ptr<client_connection> self(this);
@@ -266,9 +302,33 @@
 void client_connection::handle_end_of_stream(const error_code& ec)
 {
     // A response without a length ends when the peer closes the connection.
-    // After a reset it is incomplete.
+    // After a reset it is incomplete. The system reports an orderly end first
+    // if the peer's process ended while a part of the request was on its way;
+    // the reset comes when that part arrives.
     if (ec != asio::error::eof || !head_received_ || !parser_->need_eof())
         return fail(ec);
+    response_ended_ = true;
+    complete_when_delivered();
+}
+
+void client_connection::complete_when_delivered()
+{
+    if (state_ != state::busy)
+        return;
+    if (const auto ec = pending_error())
+        return fail(ec);
+    if (!request_sent_ || undelivered_bytes() != 0)
+    {
+        boost::intrusive_ptr<client_connection> self(this);
+        timer_.expires_after(delivery_check_interval);
+        timer_.async_wait(
+            [self](const error_code& ec)
+            {
+                if (!ec)
+                    self->complete_when_delivered();
+            });
+        return;
+    }
     error_code result;
     parser_->put_eof(result);
     if (result)
@@ -276,6 +336,25 @@
     complete();
 }
 
+error_code client_connection::pending_error() const
+{
+    pending_error_option value;
+    error_code ec;
+    socket_.get_option(value, ec);
+    return ec ? ec
+              : error_code(value.value(), boost::system::system_category());
+}
+
+std::size_t client_connection::undelivered_bytes()
+{
+    undelivered_command command;
+    error_code ec;
+    socket_.io_control(command, ec);
+
+    // Where the system doesn't tell, what it has taken counts as delivered.
+    return ec ? 0 : command.value();
+}
+
 void client_connection::complete()
 {
     // If the response ended before the whole request was sent, the peer may
@@ -316,7 +395,7 @@
     state_ = state::closed;
     error_code ignored;
     socket_.close(ignored);
-    connect_timer_.cancel();
+    timer_.cancel();
     connect_handler_ = nullptr;
     idle_end_hook_ = nullptr;
     hooks_ = nullptr;
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -154,12 +154,26 @@
     bool handle_head();
 
     void handle_end_of_stream(const boost::system::error_code& ec);
+
+    /// Completes a response that ended with its connection once the peer has
+    /// received the whole request, and fails it if the connection was reset
+    /// meanwhile.
+    void complete_when_delivered();
+
+    /// Returns the error of the socket that was not reported yet, if any.
+    boost::system::error_code pending_error() const;
+
+    /// Returns the number of bytes of the request that were written and that
+    /// the peer has not acknowledged.
+    std::size_t undelivered_bytes();
     void complete();
-    void note_keep_alive();
     void fail(std::error_code ec);
 
     boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer connect_timer_;
+
+    /// Timeout of establishing the connection; later, of the next check whether
+    /// the request was delivered.
+    boost::asio::steady_timer timer_;
     client_settings settings_;
     state state_ = state::unconnected;
     std::function<void(std::error_code)> connect_handler_;
@@ -179,6 +193,10 @@
 
     /// Bytes of the heads of this request's interim and final responses.
     std::size_t head_bytes_ = 0;
+
+    /// True once the peer has closed the connection after a response without a
+    /// length.
+    bool response_ended_ = false;
     bool paused_ = false;
     bool read_pending_ = false;
 
--- a/test/online/test_request.cpp
+++ b/test/online/test_request.cpp
@@ -117,7 +117,7 @@
         call.method = "POST";
         call.target = "/x";
         call.host = "h";
-        call.body = "body";
+        call.body = body;
         call.configuration = std::make_shared<fleet::configuration>(
             1, std::vector{route}, std::vector<fleet::service>(),
             fleet::request_limits());
@@ -186,6 +186,7 @@
 
     boost::asio::io_context context;
     std::vector<std::string> target_ids;
+    std::string body = "body";
     std::list<scripted_server> servers;
     targets::target_protocol protocol = make_test_protocol();
     targets::target_set set{context, {"d", "", {}}, {}};
@@ -602,6 +603,39 @@
     BOOST_TEST(second.requests.empty());
 }
 
+// Guards against a part of an answer that reaches the caller as the whole. The
+// answer has no length, and its target leaves while the request still arrives:
+// its end comes before the reset.
+BOOST_AUTO_TEST_CASE(answer_cut_during_the_upload_is_not_complete)
+{
+    body = std::string(16UL * 1024 * 1024, 'u');
+    const scripted_answer part{"HTTP/1.1 200 X\r\n" + head + "\r\na part",
+                               false, true};
+
+    // Held back: another target answers, if the request may be repeated.
+    auto& first = add_target("t1");
+    first.add(part);
+    auto& second = add_target("t2");
+    second.add(whole_answer(200, "hello", head));
+    const auto repeated = run();
+    BOOST_TEST(repeated.complete);
+    BOOST_TEST(repeated.body == "hello");
+
+    set.remove("t2");
+    first.add(part);
+    route.repeats = fleet::repetition::once;
+    const auto once = run();
+    BOOST_REQUIRE(once.refused.has_value());
+    BOOST_TEST((once.refused->ran == execution::may_have_run));
+
+    // Relayed: the caller can tell the answer from a complete one.
+    settings.held_answer_bytes = 3;
+    first.add(part);
+    const auto relayed = run();
+    BOOST_TEST(relayed.body == "a part");
+    BOOST_TEST(relayed.aborted);
+}
+
 // Guards against bytes of a target in trouble that reach the caller as an
 // answer whose status is none.
 BOOST_AUTO_TEST_CASE(answer_whose_status_is_none_is_not_relayed)
--- a/test/support/scripted_server.hpp
+++ b/test/support/scripted_server.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -28,6 +29,12 @@
 
     /// True if the connection is closed after the bytes are sent.
     bool closes = false;
+
+    /// True if the server ends its side of the connection after the bytes,
+    /// reads a part of the request's body, and closes the connection when it
+    /// has read all that has arrived. What arrives later is answered by a
+    /// reset.
+    bool leaves_during_upload = false;
 };
 
 /// Server on a loopback port that answers each request with given bytes; the
@@ -53,6 +60,11 @@
         answers_.push_back({std::move(bytes), closes});
     }
 
+    void add(scripted_answer answer)
+    {
+        answers_.push_back(std::move(answer));
+    }
+
     /// Hook that returns the answer to a request, given the request's head;
     /// used while the script is empty. Without it, the answer has no bytes.
     std::function<scripted_answer(const std::string& request)> make_answer;
@@ -151,6 +163,11 @@
         // The write fails if the connection was closed meanwhile.
         boost::system::error_code ec;
         boost::asio::write(it->socket, boost::asio::buffer(answer.bytes), ec);
+        if (!ec && answer.leaves_during_upload)
+        {
+            it->socket.shutdown(boost::asio::socket_base::shutdown_send, ec);
+            return leave_during_upload(it);
+        }
         if (!ec && !answer.closes)
             return read(it);
         it->socket.shutdown(boost::asio::socket_base::shutdown_both, ec);
@@ -158,6 +175,22 @@
         connections_.remove(it);
     }
 
+    void leave_during_upload(const connection_ptr& it)
+    {
+        constexpr std::size_t read_bytes = 256UL * 1024;
+        it->buf.resize(read_bytes);
+        boost::asio::async_read(
+            it->socket, boost::asio::buffer(it->buf),
+            [this, it](boost::system::error_code ec, std::size_t)
+            {
+                it->socket.non_blocking(true, ec);
+                while (!ec)
+                    it->socket.read_some(boost::asio::buffer(it->buf), ec);
+                it->socket.close(ec);
+                connections_.remove(it);
+            });
+    }
+
     static std::size_t body_length(const std::string& head)
     {
         constexpr std::string_view name = "Content-Length: ";
