Bound the answer to a call that runs once

On the own interface a target that answers such a call without end could fill an entry's memory until the call timed out, at the cost of all its other callers.

Cause: service_calls collects the answer before it is recorded and took each piece at once, without a limit.

Change: more than 8 MiB end the call with an unknown outcome, and the connection to the target is closed.

--- a/src/api/service_calls.cpp
+++ b/src/api/service_calls.cpp
@@ -20,6 +20,10 @@
 /// body of the response.
 constexpr std::size_t outcome_overhead_bytes = 1024;
 
+/// Maximum size of the body of a response. The whole response is held until it
+/// is complete, and a target in trouble may send one without end.
+constexpr std::size_t max_answer_bytes = 8UL * 1024 * 1024;
+
 std::string make_call_id(std::string_view team, std::string_view service,
                          std::string_view key)
 {
@@ -124,10 +128,15 @@
         pending->answer.status = head.status;
         pending->answer.content_type = head.headers.find("Content-Type");
     };
-    hooks.write = [pending](const std::string& piece, auto written)
+    hooks.write = [this, pending](const std::string& piece, auto written)
     {
         pending->answer.body += piece;
-        written({});
+        if (pending->answer.body.size() <= max_answer_bytes)
+            return written({});
+
+        // The error ends the request at its target and calls no further hook.
+        handle_answer(pending, false);
+        written(make_error_code(result_code::answer_too_large));
     };
     hooks.finish = [this, pending]
     {
