Parse the key of an Authorization field in one place

The own interface and the teams of the users' platform each had a parser of the scheme Bearer; only one of them skipped further spaces. Both call http::bearer_credentials now. http_syntax/bearer_credentials_follow_the_scheme states what it accepts.

--- a/src/api/fleet_index.cpp
+++ b/src/api/fleet_index.cpp
@@ -1,8 +1,7 @@
 #include "api/fleet_index.hpp"
 
 #include "common/hash.hpp"
-
-#include <boost/algorithm/string/predicate.hpp>
+#include "http/syntax.hpp"
 
 #include <utility>
 
@@ -20,18 +19,10 @@
         services_.emplace(it.name(), service_rules(it));
 }
 
-std::string_view bearer_key(std::string_view authorization)
-{
-    constexpr std::string_view scheme = "Bearer ";
-    if (!boost::algorithm::istarts_with(authorization, scheme))
-        return {};
-    return authorization.substr(scheme.size());
-}
-
 const proto::TeamSpec*
 fleet_index::find_team(std::string_view authorization) const
 {
-    const auto key = bearer_key(authorization);
+    const auto key = http::bearer_credentials(authorization);
     if (key.empty())
         return nullptr;
     const auto it = teams_.find(common::to_hex(common::hash128(key)));
--- a/src/api/fleet_index.hpp
+++ b/src/api/fleet_index.hpp
@@ -46,10 +46,6 @@
     std::unordered_map<std::string_view, service_rules> services_;
 };
 
-/// Returns the key of an Authorization header with the scheme Bearer, or an
-/// empty string if the header has another scheme or is empty.
-std::string_view bearer_key(std::string_view authorization);
-
 } // namespace tanagertrack::api
 
 #endif
--- a/src/api/operator_api.cpp
+++ b/src/api/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "common/hash.hpp"
 #include "config/ticket.hpp"
 #include "entry/request_observer.hpp"
+#include "http/syntax.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -103,7 +104,7 @@
 {
     // Hashes are compared, so that the time doesn't depend on how many leading
     // bytes of the keys are equal.
-    const auto key = bearer_key(exchange->head().authorization());
+    const auto key = http::bearer_credentials(exchange->head().authorization());
     return common::hash128(key) ==
            common::hash128(core_.settings().operators.key);
 }
--- a/src/http/syntax.cpp
+++ b/src/http/syntax.cpp
@@ -1,5 +1,7 @@
 #include "http/syntax.hpp"
 
+#include "http/header_list.hpp"
+
 #include <algorithm>
 
 namespace tanagertrack::http
@@ -50,4 +52,15 @@
            std::ranges::all_of(text, is_target_character);
 }
 
+std::string_view bearer_credentials(std::string_view authorization)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    if (!equals_ignoring_case(authorization.substr(0, scheme.size()), scheme))
+        return {};
+    authorization.remove_prefix(scheme.size());
+    authorization.remove_prefix(
+        std::min(authorization.find_first_not_of(' '), authorization.size()));
+    return authorization;
+}
+
 } // namespace tanagertrack::http
--- a/src/http/syntax.hpp
+++ b/src/http/syntax.hpp
@@ -20,6 +20,10 @@
 /// with a slash and contains neither spaces nor control characters.
 bool is_request_target(std::string_view text);
 
+/// Returns the credentials in the value of an Authorization field with the
+/// scheme Bearer, whose case is ignored; empty for another scheme.
+std::string_view bearer_credentials(std::string_view authorization);
+
 } // namespace tanagertrack::http
 
 #endif
--- a/src/teams/team_access.cpp
+++ b/src/teams/team_access.cpp
@@ -1,5 +1,7 @@
 #include "teams/team_access.hpp"
 
+#include "http/syntax.hpp"
+
 #include <algorithm>
 
 namespace tanagertrack::teams
@@ -21,15 +23,9 @@
 
 std::string_view find_bearer_key(const http::header_list& headers)
 {
-    constexpr std::string_view scheme = "Bearer ";
     if (std::ranges::count_if(headers, is_authorization) != 1)
         return {};
-    auto value = headers.find(authorization);
-    if (!http::equals_ignoring_case(value.substr(0, scheme.size()), scheme))
-        return {};
-    value.remove_prefix(scheme.size());
-    value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
-    return value;
+    return http::bearer_credentials(headers.find(authorization));
 }
 
 team_access::team_access(std::chrono::milliseconds max_view_age)
--- a/test/http/test_syntax.cpp
+++ b/test/http/test_syntax.cpp
@@ -34,4 +34,14 @@
     BOOST_TEST(!is_request_target("/a b"));
 }
 
+// Guards against a key that one interface accepts and the other refuses.
+BOOST_AUTO_TEST_CASE(bearer_credentials_follow_the_scheme)
+{
+    BOOST_TEST(bearer_credentials("Bearer k1") == "k1");
+    BOOST_TEST(bearer_credentials("bEARER  k1") == "k1");
+    for (const auto* it :
+         {"", "k1", "Bearer", "Bearer ", "Basic k1", "Bearerk1"})
+        BOOST_TEST(bearer_credentials(it).empty(), it);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
