Split the grouping of waiting items from the runner

The groups that entries tell each other depend on the queues only; they move to waiting_groups, unchanged.

--- a/src/batch/runner.cpp
+++ b/src/batch/runner.cpp
@@ -5,6 +5,7 @@
 #include "batch/item_route.hpp"
 #include "batch/preemption.hpp"
 #include "batch/progress_store.hpp"
+#include "batch/waiting_groups.hpp"
 #include "common/logging.hpp"
 #include "common/result_code.hpp"
 
@@ -760,50 +761,12 @@
 std::vector<routing::waiting_items>
 runner::waiting(std::size_t max_groups) const
 {
-    std::vector<routing::waiting_items> groups;
     if (paused_ || handed_over_)
-        return groups;
-
-    // Each service gets an equal share of the groups.
-    const auto now = common::clock::now();
-    std::size_t services = 0;
-    for (const auto& [service, items] : pending_.by_service())
-        services += has_targets(service) ? 1 : 0;
-    for (const auto& [service, items] : pending_.by_service())
-    {
-        if (!has_targets(service))
-            continue;
-        const auto limit =
-            groups.size() + std::max<std::size_t>(1, max_groups / services);
-        add_waiting_groups(groups, service, items, std::min(limit, max_groups),
-                           now);
-    }
-    std::ranges::stable_sort(groups, {}, &routing::waiting_items::urgency);
-    return groups;
-}
-
-void runner::add_waiting_groups(std::vector<routing::waiting_items>& groups,
-                                const std::string& service,
-                                const pending_items::queue& items,
-                                std::size_t max_groups, common::time_point now)
-{
-    const auto first = groups.size();
-    std::string_view job;
-    for (const auto& [rank, item] : items)
-    {
-        if (item->not_before > now)
-            continue;
-        const bool starts_group = groups.size() == first || item->job != job ||
-                                  groups.back().urgency != rank.urgency;
-        if (starts_group)
-        {
-            if (groups.size() >= max_groups)
-                break;
-            job = item->job;
-            groups.push_back({service, rank.urgency, 0});
-        }
-        ++groups.back().count;
-    }
+        return {};
+    return group_waiting_items(
+        pending_, max_groups,
+        [this](const std::string& service) { return has_targets(service); },
+        common::clock::now());
 }
 
 runner_counts runner::counts() const
--- a/src/batch/runner.hpp
+++ b/src/batch/runner.hpp
@@ -197,14 +197,6 @@
 
     /// Returns the route of an item in the configuration in effect.
     item_route find_route(const item_run& item) const;
-
-    /// Adds the waiting items of a service to `groups`, which gets at most
-    /// `max_groups` in total.
-    static void add_waiting_groups(std::vector<routing::waiting_items>& groups,
-                                   const std::string& service,
-                                   const pending_items::queue& items,
-                                   std::size_t max_groups,
-                                   common::time_point now);
     void interrupt_item(const item_run_ptr& item, std::string_view reason);
     void check_timeouts(common::time_point now);
     targets::attempt_ptr cancel_attempt(const item_run_ptr& item);
