--- a/src/batch/environment.hpp
+++ b/src/batch/environment.hpp
@@ -80,8 +80,8 @@
     /// Interval of the checks that start items and find silent targets.
     std::chrono::milliseconds check_interval{50};
 
-    /// Maximum text of an item in bytes; an item with a larger text can't be
-    /// recorded and fails.
+    /// Maximum text of an item in bytes; a larger one can't be recorded. See
+    /// `decide_after_large_text`.
     std::size_t max_text_bytes = 255UL * 1024;
 
     /// Finished items that are not recorded yet, and the bytes of their texts;
--- a/src/targets/protocol.hpp
+++ b/src/targets/protocol.hpp
@@ -60,8 +60,8 @@
     /// Response to another request, or to none.
     foreign,
 
-    /// A failure without the signature that each target adds. It is relayed to a
-    /// caller, but proves nothing about the request.
+    /// A failure without the signature that each target adds. It is relayed to
+    /// a caller, but proves nothing about the request.
     unsigned_failure,
 
     /// Bytes that don't count as a response, for example a success without the
