--- a/src/batch/attempt_decision.cpp
+++ b/src/batch/attempt_decision.cpp
@@ -40,8 +40,8 @@
     return {std::nullopt, retry_pause};
 }
 
-/// Returns true if as many targets have sent a text that was too large as may
-/// be asked for one.
+/// Returns true if enough texts of the item were too large, from enough
+/// different targets.
 bool is_confirmed_large(const item_run& item, const large_text_context& context)
 {
     const auto needed_targets =
@@ -78,8 +78,8 @@
         return {proto::ITEM_UNKNOWN};
     ++(was_sent ? item.broken_attempts : item.refused_attempts);
 
-    // An item with all events that it can have has them from a target that did
-    // not stop there.
+    // An item with as many events as it can have got them from a target that
+    // sent more, so that none of them can be trusted.
     const bool has_all_events =
         item.max_events() && item.events >= *item.max_events();
     const auto attempts_without_data =
