--- a/src/targets/attempt.cpp
+++ b/src/targets/attempt.cpp
@@ -117,10 +117,8 @@
     const auto kind =
         protocol_.classify(head, {request_.request_id, first_on_connection_});
     if (kind == answer_kind::foreign || kind == answer_kind::invalid)
-        return finish({outcome::failed, 0,
-                       make_error_code(result_code::protocol_error),
-                       kind == answer_kind::foreign ? "foreign_answer"
-                                                    : "invalid_answer"});
+        return fail_invalid(0, kind == answer_kind::foreign ? "foreign_answer"
+                                                            : "invalid_answer");
 
     if (auto report = protocol_.read_load(head))
     {
@@ -156,9 +154,7 @@
         return pass_on(piece, std::nullopt);
     }
     if (!splitter_.feed(piece) && !ended_)
-        finish({outcome::failed, status_,
-                make_error_code(result_code::protocol_error),
-                "event_too_large"});
+        fail_invalid(status_, "event_too_large");
 }
 
 void attempt::handle_event(const http::stream_event& event)
@@ -166,13 +162,9 @@
     if (ended_)
         return;
     if (event.id && last_event_ && *event.id != *last_event_ + 1)
-        return finish({outcome::failed, status_,
-                       make_error_code(result_code::protocol_error),
-                       "event_out_of_order"});
+        return fail_invalid(status_, "event_out_of_order");
     if (event.id && ++events_ > request_.max_events)
-        return finish({outcome::failed, status_,
-                       make_error_code(result_code::protocol_error),
-                       "too_many_events"});
+        return fail_invalid(status_, "too_many_events");
     if (event.id || http::has_event_data(event.bytes))
         handle_content();
     if (event.id)
@@ -192,9 +184,7 @@
 {
     unnumbered_bytes_ += bytes;
     if (unnumbered_bytes_ > request_.max_unnumbered_bytes)
-        finish({outcome::failed, status_,
-                make_error_code(result_code::protocol_error),
-                "events_without_numbers"});
+        fail_invalid(status_, "events_without_numbers");
 }
 
 void attempt::pass_on(std::string_view piece,
@@ -226,9 +216,7 @@
         return finish({outcome::failed, status_, ec,
                        answered_ ? "answer_cut" : "no_answer"});
     if (splits_events_ && splitter_.pending() != 0)
-        return finish({outcome::failed, status_,
-                       make_error_code(result_code::protocol_error),
-                       "event_cut"});
+        return fail_invalid(status_, "event_cut");
 
     // A target that crashes at the start of its answer ends the connection too.
     if (splits_events_ && ends_with_connection_ && !content_received_)
@@ -238,6 +226,12 @@
     finish({outcome::complete, status_, {}, "complete", signed_});
 }
 
+void attempt::fail_invalid(unsigned status, std::string_view reason)
+{
+    finish({outcome::failed, status,
+            make_error_code(result_code::protocol_error), reason});
+}
+
 void attempt::finish(attempt_end end)
 {
     const attempt_ptr self(this);
--- a/src/targets/attempt.hpp
+++ b/src/targets/attempt.hpp
@@ -190,6 +190,10 @@
     void pass_on(std::string_view piece, std::optional<std::uint64_t> event);
     void handle_answer_end(std::error_code ec);
 
+    /// Ends the attempt because the response is not valid. `status` is that of
+    /// the response, or 0 if it is not one to the request.
+    void fail_invalid(unsigned status, std::string_view reason);
+
     /// Ends the attempt and calls `on_end`.
     void finish(attempt_end end);
 
