--- a/review/standin-3/cases.hpp
+++ b/review/standin-3/cases.hpp
@@ -4,6 +4,10 @@
 #include "fleet.hpp"
 
 #include <atomic>
+#include <vector>
+
+#include <sys/epoll.h>
+#include <sys/resource.h>
 
 namespace review
 {
@@ -143,8 +147,37 @@
     return lost == 0 ? held : broken;
 }
 
+/// Bytes that were received on the connections of a listener and that its
+/// process has not read, from the kernel's table of connections.
+inline std::size_t unread_bytes(std::uint16_t port)
+{
+    char suffix[8];
+    std::snprintf(suffix, sizeof suffix, ":%04X", port);
+    std::ifstream file("/proc/net/tcp");
+    std::size_t sum = 0;
+    for (std::string line; std::getline(file, line);)
+    {
+        unsigned slot = 0;
+        char local[32];
+        char remote[32];
+        unsigned state = 0;
+        unsigned long unsent = 0;
+        unsigned long unread = 0;
+        if (std::sscanf(line.c_str(), " %u: %31s %31s %x %lx:%lx", &slot, local,
+                        remote, &state, &unsent, &unread) != 6)
+            continue;
+        constexpr unsigned established = 1;
+        constexpr unsigned close_wait = 8;
+        const bool is_open = state == established || state == close_wait;
+        if (is_open && std::string_view(local).ends_with(suffix))
+            sum += unread;
+    }
+    return sum;
+}
+
 /// Ends entries that hold more memory than their machines have, as the platform
-/// does, and starts them again.
+/// does, and starts them again. "Bytes that have been received and not yet read
+/// count toward this limit" (DEPLOY.md).
 class memory_limit
 {
 public:
@@ -186,13 +219,15 @@
 
     void check(entry& it, std::atomic<std::size_t>& peak)
     {
-        const auto mb = it.memory_mb();
+        const auto resident = it.memory_mb();
+        const auto unread = unread_bytes(it.front()) / 1024 / 1024;
+        const auto mb = resident + unread;
         peak = std::max(peak.load(), mb);
         if (mb <= it.size().memory_mb)
             return;
         ++ends_;
-        log_("%s holds %zu MB of %u: ended by the platform", it.name().c_str(),
-             mb, it.size().memory_mb);
+        log_("%s holds %zu MB and %zu MB unread of %u: ended by the platform",
+             it.name().c_str(), resident, unread, it.size().memory_mb);
         it.signal(SIGKILL);
         it.wait(milliseconds(2000));
         std::this_thread::sleep_for(milliseconds(500));
@@ -255,6 +290,181 @@
     return limit.ends() == 0 ? held : broken;
 }
 
+/// Many callers that each send a body in chunks and stop just short of its end.
+/// All are served by one thread.
+class slow_callers
+{
+public:
+    slow_callers(std::uint16_t port, std::size_t count, std::string chunks,
+                 std::size_t repeats)
+        : port_(port), count_(count), chunks_(std::move(chunks)),
+          repeats_(repeats), epoll_(::epoll_create1(0))
+    {
+    }
+
+    /// Keeps `count` connections open until `stop` is true.
+    void run(const std::atomic<bool>& stop)
+    {
+        while (!stop)
+        {
+            for (int n = 0; n < 200 && open_.size() < count_; ++n)
+                open_one();
+            epoll_event events[512];
+            const int n = ::epoll_wait(epoll_, events, 512, 20);
+            for (int i = 0; i < n; ++i)
+            {
+                if (!handle(events[i]))
+                    close_one(events[i].data.fd);
+            }
+        }
+        while (!open_.empty())
+            close_one(open_.begin()->first);
+    }
+
+    std::size_t opened = 0;
+    std::size_t refused = 0;
+    std::atomic<std::size_t> sent_bytes{0};
+
+private:
+    struct caller
+    {
+        std::string pending;
+        std::size_t repeats = 0;
+    };
+
+    void open_one()
+    {
+        const int fd =
+            ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        const auto address = loopback(port_);
+        if (fd < 0 ||
+            (::connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                       sizeof address) != 0 &&
+             errno != EINPROGRESS))
+        {
+            ::close(fd);
+            return;
+        }
+        ++opened;
+        const auto id = random_id();
+        open_[fd] = {"POST /batch/" + id +
+                         " HTTP/1.1\r\nHost: h.example\r\n"
+                         "X-Tanagertrack-Request-Id: " +
+                         id +
+                         "\r\nX-Tanagertrack-Deadline-Ms: 4000\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n",
+                     0};
+        epoll_event event{};
+        event.events = EPOLLIN | EPOLLOUT;
+        event.data.fd = fd;
+        ::epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event);
+    }
+
+    bool handle(const epoll_event& event)
+    {
+        const int fd = event.data.fd;
+        auto& it = open_[fd];
+        if ((event.events & EPOLLIN) != 0)
+        {
+            char buf[4096];
+            if (::recv(fd, buf, sizeof buf, 0) <= 0)
+                return false;
+            ++refused;
+        }
+        if ((event.events & (EPOLLHUP | EPOLLERR)) != 0)
+            return false;
+        if ((event.events & EPOLLOUT) == 0)
+            return true;
+        if (it.pending.empty() && it.repeats++ < repeats_)
+            it.pending = chunks_;
+        if (it.pending.empty())
+        {
+            epoll_event only_in{};
+            only_in.events = EPOLLIN;
+            only_in.data.fd = fd;
+            ::epoll_ctl(epoll_, EPOLL_CTL_MOD, fd, &only_in);
+            return true;
+        }
+        const auto n =
+            ::send(fd, it.pending.data(), it.pending.size(), MSG_NOSIGNAL);
+        if (n < 0)
+            return errno == EAGAIN;
+        sent_bytes += static_cast<std::size_t>(n);
+        it.pending.erase(0, static_cast<std::size_t>(n));
+        return true;
+    }
+
+    void close_one(int fd)
+    {
+        ::close(fd);
+        open_.erase(fd);
+    }
+
+    std::uint16_t port_;
+    std::size_t count_;
+    std::string chunks_;
+    std::size_t repeats_;
+    int epoll_;
+    std::map<int, caller> open_;
+};
+
+/// Callers send many chunked bodies at once and stop just short of their end.
+inline int run_unread_bodies(record& log, bool trouble)
+{
+    // Each chunk holds one byte; 4,000,000 bytes are below `maxBodyBytes`.
+    constexpr std::size_t connections = 4000;
+    constexpr std::size_t chunks_per_piece = 10000;
+    constexpr std::size_t pieces = 400;
+    rlimit descriptors{};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    descriptors.rlim_cur = descriptors.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &descriptors);
+    if (descriptors.rlim_max < 9000)
+        throw std::runtime_error("too few descriptors");
+
+    fleet all(log, 2, 4, {});
+    std::this_thread::sleep_for(std::chrono::seconds(10));
+    memory_limit limit(all, log);
+    std::string chunks;
+    for (std::size_t n = 0; n < (trouble ? chunks_per_piece : 100); ++n)
+        chunks += "1\r\nx\r\n";
+    std::atomic<bool> stop{false};
+    slow_callers callers(all.entries[0]->front(), connections, chunks,
+                         trouble ? pieces : 1);
+    std::thread sender([&] { callers.run(stop); });
+
+    std::size_t served = 0;
+    std::size_t not_served = 0;
+    const auto end = steady::now() + std::chrono::seconds(15);
+    while (steady::now() < end && limit.ends() == 0)
+    {
+        batch_job job;
+        job.items.resize(1);
+        job.items[0].body = "a usual item";
+        const auto began = steady::now();
+        const auto got = submit(all.entries[0]->front(), job);
+        const auto took = std::chrono::duration_cast<milliseconds>(
+            steady::now() - began);
+        log("a usual job: %d in %ld ms; %zu MB resident, %zu MB unread",
+            got.status, static_cast<long>(took.count()),
+            all.entries[0]->memory_mb(),
+            unread_bytes(all.entries[0]->front()) / 1024 / 1024);
+        ++(got.status == 202 ? served : not_served);
+        std::this_thread::sleep_for(milliseconds(300));
+    }
+    stop = true;
+    sender.join();
+    log("%zu connections opened, %zu answered, %zu MB sent; usual jobs: %zu "
+        "accepted, %zu not",
+        callers.opened, callers.refused, callers.sent_bytes / 1024 / 1024,
+        served, not_served);
+    limit.write_peaks();
+    log("processes ended for their memory: %d", limit.ends());
+    if (callers.opened < connections)
+        return not_run;
+    return limit.ends() == 0 ? held : broken;
+}
+
 /// Sends a stream request and reads its answer. Returns true if the answer is
 /// complete and is the engine's whole stream of `events` events.
 struct stream_result
@@ -362,6 +572,8 @@
         return run_full_partition(log, trouble);
     if (name == "waiting-jobs")
         return run_waiting_jobs(log, trouble);
+    if (name == "unread-bodies")
+        return run_unread_bodies(log, trouble);
     if (name == "second-signal")
         return run_second_signal(log, trouble);
     throw std::runtime_error("unknown case " + name);
