--- a/review/standin-3/cases.hpp
+++ b/review/standin-3/cases.hpp
@@ -4,6 +4,8 @@
 #include "fleet.hpp"
 
 #include <atomic>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include <sys/epoll.h>
@@ -566,6 +568,158 @@
     return cut == before ? held : broken;
 }
 
+/// Returns the ids of the items of a job that are listed at an entry;
+/// std::nullopt if it can't be read.
+inline std::optional<std::set<std::string>> listed_items(std::uint16_t port,
+                                                         const batch_job& job)
+{
+    std::set<std::string> out;
+    for (std::size_t next = 0;;)
+    {
+        const auto got = read_results(port, job.id, next);
+        if (got.status != 200 || !got.complete)
+            return std::nullopt;
+        const auto page = json::parse(got.body).as_object();
+        for (const auto& it : page.at("results").as_array())
+            out.emplace(it.as_object().at("id").as_string());
+        const auto after = page.at("next").to_number<std::size_t>();
+        if (after == next || out.size() >= job.items.size())
+            return out;
+        next = after;
+    }
+}
+
+/// Returns true if an engine was at work on an item of the jobs within `span`,
+/// or worked on anything within it if `jobs` is empty.
+inline bool had_work(fleet& all, const std::set<std::string>& items,
+                     milliseconds span)
+{
+    const auto since = steady::now() - span;
+    for (auto& it : all.engines)
+    {
+        for (const auto& run : it->runs())
+        {
+            const bool is_recent =
+                run.ended == steady::time_point() || run.ended > since;
+            if (is_recent && (items.empty() || items.contains(run.id)))
+                return true;
+        }
+    }
+    return false;
+}
+
+/// Many large jobs wait while online requests use the engines. Then the online
+/// requests end, and the engines have time for all items.
+inline int run_waiting_parts(record& log, bool trouble)
+{
+    constexpr std::size_t job_count = 90;
+    constexpr std::size_t items_per_job = 15;
+    constexpr std::size_t large_item_bytes = 195000;
+    constexpr std::size_t usual_item_bytes = 1000;
+    constexpr int online_callers = 70;
+    engine::settings values;
+    values.step = milliseconds(12);
+    values.max_events = 40;
+    fleet all(log, 3, 8, values);
+    std::this_thread::sleep_for(std::chrono::seconds(10));
+
+    std::atomic<bool> stop{false};
+    std::atomic<unsigned> served{0};
+    std::vector<std::thread> online;
+    for (int n = 0; n < online_callers; ++n)
+        online.emplace_back(
+            [&, n]
+            {
+                while (!stop)
+                {
+                    const auto& at = *all.entries[n % all.entries.size()];
+                    const auto got =
+                        ask(at.front(), "/chat/", random_id(), 40);
+                    served += got.complete && got.status == 200 ? 1 : 0;
+                    std::this_thread::sleep_for(milliseconds(10));
+                }
+            });
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+
+    const auto bytes =
+        random_bytes(trouble ? large_item_bytes : usual_item_bytes);
+    std::vector<batch_job> jobs(job_count);
+    for (auto& job : jobs)
+    {
+        job.items.resize(items_per_job);
+        for (auto& it : job.items)
+            it.body = bytes;
+    }
+    std::atomic<std::size_t> next{0};
+    std::vector<char> accepted(job_count);
+    std::vector<std::thread> callers;
+    for (int n = 0; n < 4; ++n)
+        callers.emplace_back(
+            [&]
+            {
+                for (auto i = next++; i < job_count; i = next++)
+                    accepted[i] =
+                        submit_until_accepted(all, log, jobs[i], i, 6);
+            });
+    for (auto& it : callers)
+        it.join();
+    log("%zu of %zu jobs accepted; %s",
+        static_cast<std::size_t>(
+            std::count(accepted.begin(), accepted.end(), 1)),
+        job_count, all.platform.describe("jobs", 0).c_str());
+    stop = true;
+    for (auto& it : online)
+        it.join();
+    log("online requests end, %u were served", served.load());
+
+    // finishS is 18.
+    const auto began = steady::now();
+    const auto latest = began + std::chrono::seconds(60);
+    while (steady::now() < began + std::chrono::seconds(18) ||
+           (had_work(all, {}, milliseconds(8000)) && steady::now() < latest))
+        std::this_thread::sleep_for(milliseconds(200));
+
+    std::size_t listed = 0;
+    std::size_t unread = 0;
+    std::size_t jobs_with_lost = 0;
+    std::set<std::string> lost;
+    for (std::size_t i = 0; i < job_count; ++i)
+    {
+        if (!accepted[i])
+            continue;
+        const auto items = listed_items(all.entries[0]->front(), jobs[i]);
+        unread += items ? 0 : 1;
+        if (!items)
+            continue;
+        listed += items->size();
+        const auto before = lost.size();
+        for (const auto& it : jobs[i].items)
+        {
+            if (!items->contains(it.id))
+                lost.insert(it.id);
+        }
+        if (lost.size() == before)
+            continue;
+        ++jobs_with_lost;
+        log("job %s: %zu items are not listed", jobs[i].id.c_str(),
+            lost.size() - before);
+    }
+    const bool at_engines =
+        !lost.empty() && had_work(all, lost, milliseconds(5000));
+    const bool engines_busy = had_work(all, {}, milliseconds(5000));
+    log("%zu items listed, %zu of %zu jobs not, jobs that can't be read: %zu; "
+        "engines had one of these items in the last 5 s: %d, any: %d",
+        listed, lost.size(), jobs_with_lost, unread, at_engines, engines_busy);
+    for (auto& it : all.entries)
+    {
+        for (const auto& line : it->log_lines("job_part_unread", 1))
+            log("%s: %s", it->name().c_str(), line.c_str());
+    }
+    if (listed == 0 || unread != 0)
+        return not_run;
+    return lost.empty() || engines_busy ? held : broken;
+}
+
 inline int run_case(const std::string& name, record& log, bool trouble)
 {
     if (name == "full-partition")
@@ -574,6 +728,8 @@
         return run_waiting_jobs(log, trouble);
     if (name == "unread-bodies")
         return run_unread_bodies(log, trouble);
+    if (name == "waiting-parts")
+        return run_waiting_parts(log, trouble);
     if (name == "second-signal")
         return run_second_signal(log, trouble);
     throw std::runtime_error("unknown case " + name);
--- a/review/standin-3/engine.hpp
+++ b/review/standin-3/engine.hpp
@@ -21,6 +21,9 @@
 {
     std::string id;
     steady::time_point started;
+
+    /// The default while the engine is at work on the request.
+    steady::time_point ended;
     bool complete = false;
 };
 
@@ -120,7 +123,7 @@
         {
             const std::lock_guard lock(mutex_);
             run = runs_.size();
-            runs_.push_back({id, steady::now(), false});
+            runs_.push_back({id, steady::now(), {}, false});
             text = fields(it) + "X-Tanagertrack-Server-Stamp: " +
                    settings_.id + "." + std::to_string(run) + "\r\n";
         }
@@ -129,6 +132,7 @@
                                   : answer_stream(fd, it, id, text);
         const std::lock_guard lock(mutex_);
         runs_[run].complete = complete;
+        runs_[run].ended = steady::now();
         --active_;
         changed_.notify_all();
         return complete;
