--- a/review/standin-3/cases.hpp
+++ b/review/standin-3/cases.hpp
@@ -428,6 +428,18 @@
     return limit.ends() == 0 ? held : broken;
 }
 
+/// Makes a usual request, which may be repeated. Returns the status; 0 if there
+/// is no answer.
+inline int look_up(std::uint16_t port)
+{
+    const auto id = random_id();
+    return call(port, "GET", "/label/" + id,
+                "Host: h.example\r\nX-Tanagertrack-Request-Id: " + id +
+                    "\r\nX-Tanagertrack-Deadline-Ms: 1000\r\n",
+                "", milliseconds(1000))
+        .status;
+}
+
 /// A caller submits jobs with many small items and ends each one at once.
 inline int run_ended_jobs(record& log, bool trouble)
 {
@@ -490,8 +502,20 @@
     log("%zu jobs accepted, %zu ended, %zu not accepted", accepted.load(),
         ended.load(), failed.load());
 
-    // No further requests come.
-    std::this_thread::sleep_for(std::chrono::seconds(15));
+    // Only a few usual requests come now.
+    unsigned asked = 0;
+    unsigned answered = 0;
+    const auto end = steady::now() + std::chrono::seconds(15);
+    while (steady::now() < end)
+    {
+        for (auto& it : all.entries)
+        {
+            ++asked;
+            answered += look_up(it->front()) == 200 ? 1 : 0;
+        }
+        std::this_thread::sleep_for(milliseconds(300));
+    }
+    log("%u of %u usual requests were answered with 200", answered, asked);
     limit.write_peaks();
     log("processes ended for their memory: %d", limit.ends());
     if (accepted == 0)
